--- /dev/null
+++ b/src/jasminelatch/core/counters.hpp
@@ -0,0 +1,46 @@
+#ifndef JASMINELATCH_CORE_COUNTERS_HPP
+#define JASMINELATCH_CORE_COUNTERS_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace jasminelatch {
+
+/**
+ * @brief Named event counters of one node.
+ *
+ * Names are lower-case words joined by underscores, with the part in front and a dot between: `lease.taken_over`.
+ */
+class Counters
+{
+public:
+    /**
+     * @brief Adds to a counter; an unknown name starts at zero.
+     * @param name Name of the counter.
+     * @param amount Number of events.
+     */
+    auto add(std::string_view name, std::uint64_t amount = 1) -> void;
+
+    /**
+     * @brief Returns the value of a counter.
+     * @param name Name of the counter.
+     * @return Number of events so far; zero for an unknown name.
+     */
+    [[nodiscard]] auto value(std::string_view name) const -> std::uint64_t;
+
+    /**
+     * @brief Returns every counter.
+     * @return Values by name, in order of name.
+     */
+    [[nodiscard]] auto all() const noexcept -> const std::map<std::string, std::uint64_t, std::less<>> &;
+
+private:
+    std::map<std::string, std::uint64_t, std::less<>> values_;
+};
+
+} // namespace jasminelatch
+
+#endif
--- /dev/null
+++ b/test/jasminelatch/core/counters.cpp
@@ -0,0 +1,17 @@
+#include <jasminelatch/core/counters.hpp>
+
+#include <gtest/gtest.h>
+
+namespace jasminelatch {
+
+TEST(Counters, StartAtZeroAndAddUp)
+{
+    Counters counters;
+    EXPECT_EQ(counters.value("lease.renewed"), 0U);
+    counters.add("lease.renewed");
+    counters.add("lease.renewed", 4);
+    EXPECT_EQ(counters.value("lease.renewed"), 5U);
+    EXPECT_EQ(counters.all().size(), 1U);
+}
+
+} // namespace jasminelatch
