--- /dev/null
+++ b/src/jasminelatch/net/fwd.hpp
@@ -0,0 +1,16 @@
+#ifndef JASMINELATCH_NET_FWD_HPP
+#define JASMINELATCH_NET_FWD_HPP
+
+namespace jasminelatch::net {
+
+class BlockingStoreClient;
+class HttpClient;
+class HttpServer;
+class PeerTransport;
+class StoreClient;
+struct HttpRequest;
+struct HttpResponse;
+
+} // namespace jasminelatch::net
+
+#endif
