--- a/src/jasminelatch/net/peer_proof.hpp
+++ b/src/jasminelatch/net/peer_proof.hpp
@@ -2,7 +2,6 @@
 #define JASMINELATCH_NET_PEER_PROOF_HPP
 
 #include <string>
-#include <string_view>
 
 namespace jasminelatch::net {
 
@@ -18,27 +17,16 @@
 };
 
 /**
- * @brief Draws a nonce.
- * @return Random text, 32 hexadecimal digits.
- */
-[[nodiscard]] auto makeNonce() -> std::string;
-
-/**
- * @brief Computes the proof that a side knows the fleet secret.
- * @param secret Fleet secret.
+ * @brief Returns the text whose authentication code proves that a side knows the fleet secret.
  * @param side Side that proves it.
  * @param greeting Facts of the connection.
- * @return Hexadecimal digits.
- */
-[[nodiscard]] auto makeProof(std::string_view secret, PeerSide side, const PeerGreeting &greeting) -> std::string;
-
-/**
- * @brief Compares two proofs in constant time.
- * @param left First proof.
- * @param right Second proof.
- * @return True when they are the same.
+ * @return The text.
  */
-[[nodiscard]] auto sameProof(std::string_view left, std::string_view right) noexcept -> bool;
+[[nodiscard]] inline auto proofText(const PeerSide side, const PeerGreeting &greeting) -> std::string
+{
+    return std::string{side == PeerSide::Opener ? "opener" : "acceptor"} + "\n" + greeting.opener + "\n"
+         + greeting.acceptor + "\n" + greeting.openerNonce + "\n" + greeting.acceptorNonce;
+}
 
 } // namespace jasminelatch::net
 
--- a/src/jasminelatch/net/peer_transport.cpp
+++ b/src/jasminelatch/net/peer_transport.cpp
@@ -2,6 +2,8 @@
 
 #include "peer_proof.hpp"
 
+#include <jasminelatch/secret/fleet_secret.hpp>
+
 #include <nlohmann/json.hpp>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -27,6 +29,7 @@
 constexpr long openTimeoutMilliseconds = 1000;
 constexpr long reconnectDelayMilliseconds = 200;
 constexpr std::size_t maxHandshakeFields = 4;
+constexpr std::size_t nonceBytes = 16;
 
 /*! @brief Message of the handshake; fields that a step does not use stay empty. */
 struct Greeting {
@@ -90,6 +93,7 @@
 public:
     Impl(Settings settings, Hooks hooks)
         : settings_{std::move(settings)}
+        , secret_{settings_.secret}
         , hooks_{std::move(hooks)}
     {
     }
@@ -227,7 +231,7 @@
         }
         peer.connecting = true;
         peer.proven = false;
-        peer.greeting = PeerGreeting{settings_.address, to, makeNonce(), {}};
+        peer.greeting = PeerGreeting{settings_.address, to, secret::randomHex(internal::nonceBytes), {}};
         peer.handle = connection->get_handle();
         connection->set_open_handler([this, to](internal::Handle handle) { greet(to, handle); });
         connection->set_message_handler([this, to](internal::Handle handle, internal::Client::message_ptr message) {
@@ -270,12 +274,13 @@
             return;
         }
         peer->greeting.acceptorNonce = reply->nonce;
-        if (!sameProof(reply->proof, makeProof(settings_.secret, PeerSide::Acceptor, peer->greeting))) {
+        if (!secret_.verify(proofText(PeerSide::Acceptor, peer->greeting), reply->proof)) {
             reject(client_, handle, "wrong fleet secret");
             return;
         }
-        sendRaw(
-            client_, handle, internal::encode({{}, {}, makeProof(settings_.secret, PeerSide::Opener, peer->greeting)}));
+        sendRaw(client_,
+                handle,
+                internal::encode({{}, {}, secret_.authenticate(proofText(PeerSide::Opener, peer->greeting))}));
         peer->proven = true;
         peer->connecting = false;
         flush(*peer);
@@ -344,16 +349,17 @@
     auto answerGreeting(const internal::Handle &handle, internal::Incoming &peer, const internal::Greeting &greeting)
         -> void
     {
-        peer.greeting = PeerGreeting{greeting.address, settings_.address, greeting.nonce, makeNonce()};
+        peer.greeting =
+            PeerGreeting{greeting.address, settings_.address, greeting.nonce, secret::randomHex(internal::nonceBytes)};
         peer.greeted = true;
-        const auto proof = makeProof(settings_.secret, PeerSide::Acceptor, peer.greeting);
+        const auto proof = secret_.authenticate(proofText(PeerSide::Acceptor, peer.greeting));
         sendRaw(server_, handle, internal::encode({settings_.address, peer.greeting.acceptorNonce, proof}));
     }
 
     auto checkOpener(const internal::Handle &handle, internal::Incoming &peer, const internal::Greeting &greeting)
         -> void
     {
-        peer.proven = sameProof(greeting.proof, makeProof(settings_.secret, PeerSide::Opener, peer.greeting));
+        peer.proven = secret_.verify(proofText(PeerSide::Opener, peer.greeting), greeting.proof);
         if (!peer.proven) {
             reject(server_, handle, "wrong fleet secret");
         }
@@ -384,6 +390,7 @@
     }
 
     Settings settings_;
+    secret::FleetSecret secret_;
     Hooks hooks_;
     boost::asio::io_context context_;
     internal::Server server_;
