--- a/src/jasminelatch/record/fwd.hpp
+++ b/src/jasminelatch/record/fwd.hpp
@@ -5,8 +5,12 @@
 
 struct Account;
 struct Fleet;
+struct Id;
 struct Key;
 struct Kind;
+struct Place;
+struct Record;
+class Reader;
 
 } // namespace jasminelatch::record
 
