--- a/src/jasminelatch/membership/fwd.hpp
+++ b/src/jasminelatch/membership/fwd.hpp
@@ -3,7 +3,14 @@
 
 namespace jasminelatch::membership {
 
+class Controller;
+class Fleet;
+struct Candidate;
+struct CellRecord;
 struct Endpoint;
+struct MemberRecord;
+struct RightContenders;
+struct Settings;
 
 } // namespace jasminelatch::membership
 
