Lease with two supports

A right is held by a fresh store lease or the named successor's promise. Cause: a plain store lease stops with the store.

--- /dev/null
+++ b/test/jasminelatch/lease/lease_controller.cpp
@@ -0,0 +1,233 @@
+#include "fleet.hpp"
+
+#include <jasminelatch/lease/lease_controller.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <iostream>
+
+using namespace std::chrono_literals;
+
+namespace jasminelatch::lease {
+
+namespace internal {
+
+constexpr Duration scheduleLength{120s};
+constexpr double faultsPerSecond = 1.0;
+
+auto hostileFaults() -> test::Faults
+{
+    test::Faults faults;
+    faults.loss = 0.05;
+    faults.duplicate = 0.05;
+    faults.messageDelay = 300ms;
+    faults.slowStore = 0.15;
+    faults.clockRateDrift = 0.05;
+    return faults;
+}
+
+/*! @brief Lets one fault begin that ends by itself. */
+auto beginFault(Fleet &fleet, std::vector<Duration> &downUntil) -> void
+{
+    auto &world = fleet.world;
+    const auto index = world.anyMachine();
+    switch (world.random()() % 7) {
+    case 0:
+        world.pause(index, world.upTo(12s));
+        return;
+    case 1:
+    case 2:
+        world.cut(index, world.anyMachine(), world.upTo(15s));
+        return;
+    case 3:
+    case 4:
+        world.cutFromStore(index, world.upTo(20s));
+        return;
+    case 5:
+        world.takeStoreDown(world.upTo(15s));
+        return;
+    default:
+        break;
+    }
+    if (fleet.runs(index)) {
+        fleet.stop(index);
+        downUntil[index] = world.elapsed() + world.upTo(5s);
+    }
+}
+
+auto restartDue(Fleet &fleet, const std::vector<Duration> &downUntil) -> void
+{
+    for (std::size_t index = 0; index < downUntil.size(); ++index) {
+        if (!fleet.runs(index) && fleet.world.elapsed() >= downUntil[index]) {
+            fleet.start(index);
+        }
+    }
+}
+
+/*! @brief Runs a random schedule of faults; returns the share of the time in which the right was held. */
+auto runHostileSchedule(Fleet &fleet) -> double
+{
+    std::vector<Duration> downUntil(fleet.world.size());
+    std::size_t held = 0;
+    std::size_t steps = 0;
+    while (fleet.world.elapsed() < scheduleLength) {
+        if (fleet.world.chance(faultsPerSecond * 0.02)) {
+            beginFault(fleet, downUntil);
+        }
+        restartDue(fleet, downUntil);
+        fleet.step(Fleet::stepLength);
+        ++steps;
+        held += fleet.holders().size();
+    }
+    return static_cast<double>(held) / static_cast<double>(steps);
+}
+
+auto hostileSettings() -> Settings
+{
+    Settings settings;
+    settings.clockRateDrift = 0.05;
+    return settings;
+}
+
+/*! @brief Returns the share of a store outage in which the right was held, after a quiet start. */
+auto shareHeldInOutage(const bool promisesEnabled, const Duration outage) -> double
+{
+    Settings settings;
+    settings.promisesEnabled = promisesEnabled;
+    Fleet fleet{1, 3, {}, settings};
+    fleet.run(20s);
+    fleet.world.takeStoreDown(outage);
+    const auto term = fleet.node(fleet.holders().at(0)).term(fleet.right);
+    std::size_t held = 0;
+    std::size_t steps = 0;
+    for (; fleet.world.elapsed() < 20s + outage; ++steps) {
+        fleet.step(Fleet::stepLength);
+        held += fleet.holders().size();
+    }
+    fleet.run(10s);
+    if (promisesEnabled) {
+        EXPECT_EQ(fleet.node(fleet.holders().at(0)).term(fleet.right), term);
+        EXPECT_EQ(fleet.counters.value("lease.lost"), 0U);
+    }
+    return static_cast<double>(held) / static_cast<double>(steps);
+}
+
+} // namespace internal
+
+RC_GTEST_PROP(LeaseController, NeverHasTwoHolders, (const std::uint64_t seed))
+{
+    const auto size = 3 + static_cast<std::size_t>(seed % 3);
+    Fleet fleet{seed, size, internal::hostileFaults(), internal::hostileSettings()};
+    internal::runHostileSchedule(fleet);
+    RC_ASSERT(fleet.mostHolders <= 1U);
+    // The schedule's faults end by themselves: the right comes back.
+    fleet.world.setFaults({});
+    for (std::size_t index = 0; index < size; ++index) {
+        if (!fleet.runs(index)) {
+            fleet.start(index);
+        }
+    }
+    RC_ASSERT(fleet.runUntilHeld(60s) < 60s);
+    RC_ASSERT(fleet.mostHolders <= 1U);
+}
+
+TEST(LeaseController, HoldsThroughAStoreOutageWithLiveNeighbours)
+{
+    const auto share = internal::shareHeldInOutage(true, 10min);
+    const auto baseline = internal::shareHeldInOutage(false, 10min);
+    std::cout << "share of a 10 min outage held: " << share << ", plain store lease: " << baseline << '\n';
+    EXPECT_EQ(share, 1.0);
+    EXPECT_LT(baseline, 0.02);
+}
+
+RC_GTEST_PROP(LeaseController, IsTakenOverAfterTheHoldersDeath, (const std::uint64_t seed))
+{
+    Fleet fleet{seed, 3, {}, {}};
+    fleet.run(10s + fleet.world.upTo(5s));
+    const auto holders = fleet.holders();
+    RC_ASSERT(holders.size() == 1U);
+    fleet.stop(holders[0]);
+    const auto time = fleet.runUntilHeld(20s);
+    RC_ASSERT(time <= 9500ms);
+    RC_ASSERT(fleet.lastKind == AcquisitionKind::TakenOver);
+    RC_ASSERT(fleet.mostHolders == 1U);
+}
+
+TEST(LeaseController, HandsOverAtShutdownWithoutWaiting)
+{
+    Fleet fleet{1, 3, {}, {}};
+    fleet.run(10s);
+    const auto former = fleet.holders().at(0);
+    fleet.node(former).releaseAll();
+    EXPECT_TRUE(fleet.holders().empty());
+    EXPECT_LT(fleet.runUntilHeld(5s), 200ms);
+    EXPECT_NE(fleet.holders().at(0), former);
+    EXPECT_EQ(fleet.mostHolders, 1U);
+}
+
+TEST(LeaseController, RestartedHolderComesBackAtOnceInANewTerm)
+{
+    Fleet fleet{1, 3, {}, {}};
+    fleet.run(10s);
+    const auto holder = fleet.holders().at(0);
+    const auto term = fleet.node(holder).term(fleet.right);
+    fleet.stop(holder);
+    fleet.start(holder);
+    EXPECT_LT(fleet.runUntilHeld(5s), 200ms);
+    EXPECT_EQ(fleet.holders().at(0), holder);
+    EXPECT_EQ(fleet.lastKind, AcquisitionKind::Restarted);
+    EXPECT_GT(fleet.node(holder).term(fleet.right), term);
+}
+
+TEST(LeaseController, RestsWithHolderAndSuccessorGoneUntilReclaimed)
+{
+    Fleet fleet{1, 4, {}, {}};
+    fleet.run(10s);
+    const auto holder = fleet.holders().at(0);
+    const auto successor = fleet.node(holder).successor(fleet.right);
+    for (std::size_t index = 0; index < 4; ++index) {
+        if (index == holder || Fleet::address(index) == successor) {
+            fleet.stop(index);
+        }
+    }
+    EXPECT_EQ(fleet.runUntilHeld(60s), 60s);
+    const auto entry = fleet.world.memory().apply({.key = recordKey(fleet.right)}, fleet.world.storeTime());
+    const auto request = reclaim(entry.entries.at(0), "operator#1");
+    ASSERT_TRUE(request);
+    fleet.world.memory().apply(*request, fleet.world.storeTime());
+    EXPECT_LT(fleet.runUntilHeld(60s), 15s);
+    EXPECT_EQ(fleet.lastKind, AcquisitionKind::Reclaimed);
+    EXPECT_EQ(fleet.mostHolders, 1U);
+}
+
+TEST(LeaseController, NamesAnotherSuccessorWhenTheFirstIsGone)
+{
+    Fleet fleet{1, 3, {}, {}};
+    fleet.run(10s);
+    const auto holder = fleet.holders().at(0);
+    const auto former = fleet.node(holder).successor(fleet.right);
+    for (std::size_t index = 0; index < 3; ++index) {
+        if (Fleet::address(index) == former) {
+            fleet.stop(index);
+        }
+    }
+    fleet.run(10s);
+    EXPECT_NE(fleet.node(holder).successor(fleet.right), former);
+    fleet.world.takeStoreDown(60s);
+    fleet.run(30s);
+    EXPECT_EQ(fleet.holders(), std::vector<std::size_t>{holder});
+}
+
+TEST(LeaseController, MakesFewStoreCalls)
+{
+    Fleet fleet{1, 3, {}, {}};
+    fleet.run(30s);
+    const auto before = fleet.world.calls();
+    fleet.run(100s);
+    const auto rate = static_cast<double>(fleet.world.calls() - before) / 100.0;
+    std::cout << "store calls per second for one right, three contenders: " << rate << '\n';
+    EXPECT_LT(rate, 0.8);
+}
+
+} // namespace jasminelatch::lease
