--- a/src/jasminelatch/admission/controller.hpp
+++ b/src/jasminelatch/admission/controller.hpp
@@ -136,7 +136,7 @@
     auto refuse(const RequestId &id, RefusalReason reason) -> void;
     auto learn(const Completion &completion) -> void;
     auto adjustLevel() -> void;
-    auto lowerOpenness(double share) -> void;
+    auto lowerOpenness(double excess) -> void;
     [[nodiscard]] auto hasPlace() const noexcept -> bool;
     [[nodiscard]] auto isHopeless(const Item &item, Duration wait) const -> bool;
     [[nodiscard]] auto waitAfter(std::size_t ahead) const -> Duration;
--- a/src/jasminelatch/balance/picker.hpp
+++ b/src/jasminelatch/balance/picker.hpp
@@ -40,7 +40,7 @@
 /**
  * @brief Chooses the instance of a service that a request goes to.
  *
- * Two random choices on load per limit, in the own failure domain while that copes. Endpoints that draining are never
+ * Two random choices on load per limit, in the own failure domain while that copes. Draining endpoints are never
  * chosen, cold ones get a growing share, failed ones are avoided for a growing time and then probed.
  */
 class Picker
@@ -114,6 +114,7 @@
     };
 
     auto avoid(Track &track) -> void;
+    auto endAvoidance(Track &track) const -> void;
     [[nodiscard]] auto candidates(const std::vector<membership::Endpoint> &endpoints,
                                   std::span<const NodeAddress> exclude,
                                   bool includeAvoided) const -> std::vector<Candidate>;
--- a/src/jasminelatch/connection/answer_cache.hpp
+++ b/src/jasminelatch/connection/answer_cache.hpp
@@ -23,7 +23,8 @@
     Duration answerRetention{std::chrono::seconds{10}}; /*!< How long an answer is kept for sending again. */
     std::size_t answerBytes{16U << 20U}; /*!< Most bytes of answers kept. */
     Duration idRetention{std::chrono::minutes{2}}; /*!< How long an id is kept; longer than any deadline. */
-    std::size_t idLimit{100'000}; /*!< Most ids kept. */
+    std::size_t idLimit{100'000}; /*!< Most ids of requests taken on that are kept. */
+    std::size_t refusedLimit{10'000}; /*!< Most ids kept that were declared not run. */
 };
 
 /**
@@ -100,12 +101,11 @@
         TimePoint at;
     };
 
-    auto remember(const RequestId &id, State state) -> void;
-    auto dropAnswer(const RequestId &id) -> void;
-    auto dropOldestId() -> void;
+    auto dropOldestAnswer() -> void;
+    auto forgetOldest() -> void;
+    auto erase(const RequestId &id) -> void;
     [[nodiscard]] auto stateOf(const NodeAddress &from, const MissingAnswer &missing) -> AnswerState;
     [[nodiscard]] auto stateOfUnknown(const MissingAnswer &missing) -> AnswerState;
-    [[nodiscard]] auto stateOfDone(const NodeAddress &from, const RequestId &id, const Entry &entry) -> AnswerState;
     [[nodiscard]] auto hasForgotten() const -> bool;
 
     CacheSettings settings_;
@@ -114,7 +114,8 @@
     Counters *counters_;
     Hooks hooks_;
     std::unordered_map<RequestId, Entry> entries_;
-    std::deque<Aged> ids_;
+    std::deque<Aged> taken_;
+    std::deque<Aged> refused_;
     std::deque<Aged> answers_;
     std::size_t answerBytes_{};
     std::optional<TimePoint> forgotAt_;
--- a/src/jasminelatch/connection/message.hpp
+++ b/src/jasminelatch/connection/message.hpp
@@ -2,7 +2,6 @@
 #define JASMINELATCH_CONNECTION_MESSAGE_HPP
 
 #include <jasminelatch/core/identifier.hpp>
-#include <jasminelatch/core/json.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -37,10 +36,9 @@
 struct MissingAnswer {
     RequestId id; /*!< The request. */
     Incarnation incarnation{}; /*!< Incarnation of the peer that was known when the request was sent. */
-    Duration age{}; /*!< Time since it was sent, in microseconds. */
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MissingAnswer, id, incarnation, age)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MissingAnswer, id, incarnation)
 
 /*! @brief Asks a peer what became of requests. */
 struct AnswerQuery {
--- a/src/jasminelatch/connection/monitor.hpp
+++ b/src/jasminelatch/connection/monitor.hpp
@@ -28,6 +28,8 @@
     Duration reopenInterval{std::chrono::milliseconds{500}}; /*!< Between attempts to open a new connection. */
     Duration lostAfter{std::chrono::seconds{3}}; /*!< Time without a new connection after which a peer is lost. */
     Duration queryInterval{std::chrono::milliseconds{300}}; /*!< Between queries for the same answers. */
+    Duration notRunTrust{std::chrono::minutes{1}}; /*!< Age of a request from which "not run" is no longer believed;
+                                                        shorter than `CacheSettings::idRetention`. */
     Duration longestTickGap{std::chrono::milliseconds{500}}; /*!< A longer gap means that this process was paused. */
 };
 
@@ -151,17 +153,17 @@
     };
 
     auto peerFor(const NodeAddress &address) -> Peer &;
-    auto onPing(const NodeAddress &from, const Ping &ping) -> void;
     auto onPong(const NodeAddress &from, const Pong &pong) -> void;
     auto onReport(const NodeAddress &from, const AnswerReport &report) -> void;
     auto onRestart(Peer &peer) -> void;
-    auto onSilent(const NodeAddress &address, Peer &peer) -> void;
+    auto onStatus(Peer &peer, const AnswerStatus &status) -> void;
     auto watch(const NodeAddress &address, Peer &peer) -> void;
     auto watchOpen(const NodeAddress &address, Peer &peer) -> void;
     auto watchReopening(const NodeAddress &address, Peer &peer) -> void;
     auto lose(const NodeAddress &address, Peer &peer) -> void;
     auto sendHeartbeat(const NodeAddress &address, Peer &peer) -> void;
     auto query(const NodeAddress &address, Peer &peer) -> void;
+    auto startReopening(const NodeAddress &address, Peer &peer) -> void;
     auto settle(Peer &peer, const RequestId &id, Outcome outcome) -> void;
     auto forgivePause() -> void;
     [[nodiscard]] auto isInUse(const Peer &peer) const -> bool;
