--- a/src/jasminelatch/quota/borrower.hpp
+++ b/src/jasminelatch/quota/borrower.hpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -90,6 +91,7 @@
     struct ShareState {
         internal::ShareView view;
         std::uint64_t openAsk{};
+        std::uint32_t tokensAsked{};
     };
 
     struct AccountState {
@@ -99,46 +101,63 @@
         internal::LoanBook loans;
         std::vector<ShareState> shares;
         std::deque<Waiter> waiters;
-        internal::Bucket localBucket;
+        std::optional<internal::Bucket> localBucket;
         std::size_t preferred{};
     };
 
     struct OpenAsk {
         Share share;
+        NodeAddress holder;
         TimePoint sentAt;
         std::vector<AccountAsk> wanted;
         bool overdue{};
     };
 
+    struct Outcome {
+        Callback callback;
+        Decision decision;
+    };
+
     using Asks = std::map<Share, LoanAsk>;
 
     [[nodiscard]] auto makeState(const record::Account &account) const -> AccountState;
     auto updateState(AccountState &state, const record::Account &account) const -> void;
-    auto acquireLocally(AccountState &state, const Callback &callback) -> void;
+    auto acquireLocally(AccountState &state, Callback callback) -> void;
     auto serveWaiters(AccountState &state) -> void;
-    auto refuseWaiters(AccountState &state, bool all) -> void;
-    auto refuse(const AccountState &state, const Callback &callback) -> void;
-    [[nodiscard]] auto retryAfter(const AccountState &state) const -> Duration;
+    auto refuseLateWaiters(AccountState &state) -> void;
+    auto refuseWaitersInVain(AccountState &state) -> void;
+    auto refuse(const AccountState &state, Callback callback) -> void;
+    auto finish(Callback callback, Decision decision) -> void;
+    auto flush() -> void;
+
     [[nodiscard]] auto stockTarget(const AccountState &state) const -> double;
     [[nodiscard]] auto tokensUnderway(const AccountState &state) const -> std::uint32_t;
-    auto plan(AccountState &state, Asks &asks) -> void;
-    auto planAsk(AccountState &state, std::size_t position, std::uint32_t tokens, Asks &asks) -> void;
+    [[nodiscard]] auto tokensMissing(const AccountState &state) const -> double;
+    [[nodiscard]] auto holderOf(const AccountState &state, std::size_t position) const -> std::optional<NodeAddress>;
     [[nodiscard]] auto chooseShare(const AccountState &state, double wanted) const -> std::optional<std::size_t>;
+    auto planForWaiters(AccountState &state, Asks &asks) -> void;
+    auto planAhead(Asks &asks) -> void;
+    auto plan(AccountState &state, double missing, Asks &asks) -> void;
+    auto planAsk(AccountState &state, std::size_t position, std::uint32_t tokens, Asks &asks) -> void;
     auto sendAsks(Asks asks) -> void;
-    auto onGrant(const LoanGrant &grant) -> void;
-    auto takeLoan(const OpenAsk &ask, std::uint64_t number, const AccountAsk &wanted, const LoanGrant &grant) -> void;
+    auto markOverdue(std::uint64_t number, OpenAsk &ask) -> void;
     auto checkOpenAsks() -> void;
+    auto onGrant(const NodeAddress &from, const LoanGrant &grant) -> void;
+    auto takeLoan(const OpenAsk &ask, const AccountAsk &wanted, const LoanGrant &grant) -> void;
 
     Settings settings_;
-    NodeAddress self_;
+    std::uint64_t selfHash_;
     std::uint64_t incarnation_;
     const Clock *clock_;
     Counters *counters_;
     Hooks hooks_;
     record::Fleet fleet_;
     std::unordered_map<AccountName, AccountState> accounts_;
+    std::set<AccountName> active_;
     std::map<std::uint64_t, OpenAsk> openAsks_;
+    std::vector<Outcome> outcomes_;
     std::uint64_t nextAsk_{1};
+    TimePoint nextPlan_;
 };
 
 } // namespace jasminelatch::quota
--- a/src/jasminelatch/quota/bucket.hpp
+++ b/src/jasminelatch/quota/bucket.hpp
@@ -3,6 +3,7 @@
 
 #include <jasminelatch/core/clock.hpp>
 
+#include <cstdint>
 #include <optional>
 
 namespace jasminelatch::quota::internal {
--- a/src/jasminelatch/quota/loan_book.hpp
+++ b/src/jasminelatch/quota/loan_book.hpp
@@ -38,6 +38,13 @@
      */
     auto expire(TimePoint now, Duration forgetAfter) -> std::uint32_t;
 
+    /**
+     * @brief Closes the loans of one share that are about to expire, so that their rest can be returned.
+     * @param limit Loans with an earlier expiry are closed.
+     * @param share Index of the share.
+     */
+    auto closeExpiringBefore(TimePoint limit, std::uint32_t share) -> void;
+
     /**
      * @brief Reports the loans of one share that have changed.
      * @param share Index of the share.
@@ -59,11 +66,11 @@
     auto confirm(std::uint64_t ask) -> void;
 
     /**
-     * @brief Returns the tokens at hand.
-     * @param now Present time.
-     * @return Unexpired tokens.
+     * @brief Returns the tokens that can still be spent at a time.
+     * @param until The time, now or later.
+     * @return Unspent tokens of the loans that expire after it.
      */
-    [[nodiscard]] auto available(TimePoint now) const -> std::uint32_t;
+    [[nodiscard]] auto available(TimePoint until) const -> std::uint32_t;
 
     /**
      * @brief Tells whether no loan is known.
@@ -77,9 +84,12 @@
         std::uint32_t share{};
         std::uint32_t tokens{};
         std::uint32_t spent{};
-        std::uint64_t reportedIn{};
         TimePoint expiry;
         TimePoint lastSpent;
+        std::uint64_t reportedIn{};
+        std::uint32_t reportedSpent{};
+        std::uint32_t confirmedSpent{};
+        bool reportedClosed{};
         bool closed{};
     };
 
--- a/src/jasminelatch/quota/share_holder.hpp
+++ b/src/jasminelatch/quota/share_holder.hpp
@@ -84,6 +84,7 @@
     };
 
     struct Loan {
+        TimePoint grantedAt;
         std::uint32_t granted{};
         std::uint32_t spent{};
     };
@@ -101,16 +102,16 @@
     };
 
     struct AccountEntry {
-        record::Account account;
         Split split;
         TimePoint accrualStart;
     };
 
     [[nodiscard]] auto lenderLifetime() const -> Duration;
     [[nodiscard]] auto accrualRate(const Split &split) const -> double;
-    [[nodiscard]] auto makeEntry(const record::Account &account, const record::Fleet &fleet) const -> AccountEntry;
-    auto replaceEntry(AccountEntry &entry, AccountEntry next) -> void;
+    [[nodiscard]] auto makeEntry(const record::Account &account) const -> AccountEntry;
+    auto carryOver(const AccountEntry &previous, AccountEntry &next) -> void;
     auto dropAccount(const AccountName &account) -> void;
+    auto restartTenures() -> void;
     auto answer(const NodeAddress &from, const LoanAsk &ask) -> void;
     auto settle(Tenure &tenure, const NodeAddress &from, const LoanAsk &ask) -> void;
     auto settleLoan(Tenure &tenure, const LoanId &id, const Settlement &settlement) -> void;
--- a/src/jasminelatch/quota/split.hpp
+++ b/src/jasminelatch/quota/split.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace jasminelatch::quota {
@@ -20,6 +21,7 @@
 
 /*! @brief How an account's rate and burst are split into shares. */
 struct Split {
+    AccountName account; /*!< The account. */
     std::uint32_t group{}; /*!< Group of the account. */
     std::vector<std::uint32_t> shares; /*!< Indices of the shares that carry the account, each once. */
     double rate{}; /*!< Tokens per second of each of them. */
--- a/src/jasminelatch/retry/asker.hpp
+++ b/src/jasminelatch/retry/asker.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <vector>
 
 namespace jasminelatch::retry {
 
@@ -87,7 +88,6 @@
         Callback callback;
     };
 
-    auto askCopied(const Need &need, const Callback &callback) -> void;
     auto finish(const ServiceName &service, Verdict verdict, const Callback &callback) -> void;
 
     Settings settings_;
