--- a/src/jasminelatch/record/parse.hpp
+++ b/src/jasminelatch/record/parse.hpp
@@ -4,11 +4,11 @@
 #include "reader.hpp"
 #include "records.hpp"
 
-#include <compare>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -30,7 +30,10 @@
     std::string type; /*!< Type, the record's field `record`. */
     std::string name; /*!< Name, unique within the type. */
 
-    auto operator<=>(const Id &) const = default;
+    auto operator==(const Id &) const -> bool = default;
+
+    /*! @brief Orders by type, then by name. */
+    auto operator<(const Id &other) const -> bool { return std::tie(type, name) < std::tie(other.type, other.name); }
 };
 
 /*! @brief Record in its JSON form, of whatever schema version. */
