--- a/src/jasminelatch/call/dispatcher.cpp
+++ b/src/jasminelatch/call/dispatcher.cpp
@@ -158,6 +158,20 @@
     onFailure(*running, retry::Reason::NodeLost, std::move(result), outcome);
 }
 
+auto Dispatcher::peerSilent(const NodeAddress &node) -> std::vector<RequestId>
+{
+    std::vector<RequestId> attempts;
+    for (const auto &[id, running] : running_) {
+        if (running.attempt && running.node == node && running.job.attempt.idempotent) {
+            attempts.push_back(*running.attempt);
+        }
+    }
+    for (const auto &attempt : attempts) {
+        lost(attempt, Outcome::Unknown);
+    }
+    return attempts;
+}
+
 auto Dispatcher::onFailure(Running &running, const retry::Reason reason, JobResult result, const Outcome outcome)
     -> void
 {
--- a/src/jasminelatch/call/dispatcher.hpp
+++ b/src/jasminelatch/call/dispatcher.hpp
@@ -79,6 +79,13 @@
      */
     auto lost(const RequestId &attempt, Outcome outcome) -> void;
 
+    /**
+     * @brief Tells that the connection to a node broke or went silent: idempotent jobs there are tried elsewhere.
+     * @param node The node.
+     * @return Attempts that are no longer waited for.
+     */
+    auto peerSilent(const NodeAddress &node) -> std::vector<RequestId>;
+
     /**
      * @brief Ends a job without a result: its caller is gone.
      * @param job Id of the job; an unknown id is ignored.
--- a/src/jasminelatch/net/peer_transport.cpp
+++ b/src/jasminelatch/net/peer_transport.cpp
@@ -283,6 +283,7 @@
                 internal::encode({{}, {}, secret_.authenticate(proofText(PeerSide::Opener, peer->greeting))}));
         peer->proven = true;
         peer->connecting = false;
+        hooks_.opened(to);
         flush(*peer);
     }
 
@@ -304,6 +305,7 @@
         peer->proven = false;
         peer->queued.clear();
         peer->queuedBytes = 0;
+        hooks_.closed(to);
         // Messages until then are queued and lost if the next attempt fails too.
         client_.set_timer(internal::reconnectDelayMilliseconds, [this, to](const websocketpp::lib::error_code &) {
             const auto position = outgoing_.find(to);
--- a/src/jasminelatch/net/peer_transport.hpp
+++ b/src/jasminelatch/net/peer_transport.hpp
@@ -35,6 +35,8 @@
     struct Hooks {
         std::function<void(std::string from, Bytes message)> message; /*!< A message has come in. */
         std::function<void(std::string reason)> rejected; /*!< A connection failed the proof or sent rubbish. */
+        std::function<void(std::string to)> opened; /*!< A connection to a peer carries messages from now on. */
+        std::function<void(std::string to)> closed; /*!< It broke, or could not be opened. */
     };
 
     /*! @brief Traffic so far. */
--- /dev/null
+++ b/src/jasminelatch/node/controllers.cpp
@@ -0,0 +1,226 @@
+#include "controllers.hpp"
+
+#include <jasminelatch/quota/split.hpp>
+
+#include <utility>
+
+namespace jasminelatch::node {
+
+namespace internal {
+
+auto quotaSettings(const Settings &settings) -> quota::Settings
+{
+    quota::Settings quota;
+    quota.mode = settings.quota;
+    quota.nodeCount = settings.staticNodes;
+    return quota;
+}
+
+auto endpoint(const Settings &settings) -> membership::Endpoint
+{
+    return {settings.address, settings.service, settings.domain, 0, 0, membership::EndpointState::Draining};
+}
+
+} // namespace internal
+
+Controllers::Controllers(
+    const Settings &settings, const std::uint64_t incarnation, const Clock &clock, Counters &counters, Hooks hooks)
+    : hooks_{std::move(hooks)}
+    , lease_{{}, settings.address, incarnation, clock, counters, leaseHooks()}
+    , membership_{{}, internal::endpoint(settings), incarnation, clock, counters, membershipHooks()}
+    , configuration_{{}, settings.address, clock, counters, configurationHooks(), incarnation}
+    , shareHolder_{internal::quotaSettings(settings), clock, counters, shareHolderHooks()}
+    , borrower_{internal::quotaSettings(settings), settings.address, incarnation, clock, counters, borrowerHooks()}
+{
+}
+
+auto Controllers::leaseHooks() -> lease::LeaseController::Hooks
+{
+    lease::LeaseController::Hooks hooks;
+    hooks.store = hooks_.store;
+    hooks.send = [this](const NodeAddress &to, lease::Message message) {
+        hooks_.send(to, std::move(message));
+    };
+    hooks.chooseSuccessor = [this](const RightName &right) {
+        return membership_.suggestedSuccessor(right);
+    };
+    hooks.acquired = [this](const RightName &right, lease::Acquisition) {
+        shareHolder_.onAcquired(right);
+    };
+    hooks.lost = [this](const RightName &right) {
+        shareHolder_.onLost(right);
+    };
+    return hooks;
+}
+
+auto Controllers::membershipHooks() -> membership::Hooks
+{
+    membership::Hooks hooks;
+    hooks.store = hooks_.store;
+    hooks.send = [this](const NodeAddress &to, membership::Message message) {
+        hooks_.send(to, std::move(message));
+    };
+    hooks.holds = [this](const RightName &right) {
+        return lease_.holds(right);
+    };
+    hooks.contend = [this](const RightName &right) {
+        lease_.contend(right);
+    };
+    hooks.stopContending = [this](const RightName &right) {
+        lease_.stopContending(right);
+    };
+    hooks.wantedRights = [this] {
+        return wantedRights();
+    };
+    hooks.endpointsChanged = [this](const ServiceName &service) {
+        hooks_.endpointsChanged(service);
+    };
+    return hooks;
+}
+
+auto Controllers::configurationHooks() -> configuration::Controller::Hooks
+{
+    configuration::Controller::Hooks hooks;
+    hooks.store = hooks_.store;
+    hooks.send = [this](const NodeAddress &to, configuration::Message message) {
+        hooks_.send(to, std::move(message));
+    };
+    hooks.isCellHolder = [this] {
+        return membership_.isCellHolder();
+    };
+    hooks.cellHolder = [this] {
+        return membership_.cellHolder();
+    };
+    hooks.otherHolders = [this] {
+        const auto peers = membership_.peers();
+        return std::vector<NodeAddress>{peers.begin(), peers.end()};
+    };
+    hooks.changed = [this](const configuration::View &view) {
+        onView(view);
+    };
+    return hooks;
+}
+
+auto Controllers::borrowerHooks() -> quota::Borrower::Hooks
+{
+    quota::Borrower::Hooks hooks;
+    hooks.send = [this](const NodeAddress &to, quota::Message message) {
+        hooks_.send(to, std::move(message));
+    };
+    hooks.holderOf = [this](const RightName &right) {
+        return membership_.holderOf(right);
+    };
+    return hooks;
+}
+
+auto Controllers::shareHolderHooks() -> quota::ShareHolder::Hooks
+{
+    quota::ShareHolder::Hooks hooks;
+    hooks.send = [this](const NodeAddress &to, quota::Message message) {
+        hooks_.send(to, std::move(message));
+    };
+    hooks.holds = [this](const RightName &right) {
+        return lease_.holds(right);
+    };
+    return hooks;
+}
+
+auto Controllers::wantedRights() const -> std::vector<RightName>
+{
+    const auto &fleet = configuration_.view()->fleet();
+    std::vector<RightName> rights;
+    for (std::uint32_t group = 0; group < fleet.quotaGroups; ++group) {
+        for (std::uint32_t index = 0; index < fleet.quotaShares; ++index) {
+            rights.push_back(quota::rightName({group, index}));
+        }
+    }
+    return rights;
+}
+
+auto Controllers::onView(const configuration::View &view) -> void
+{
+    std::vector<record::Account> accounts;
+    for (const auto *account : view.accounts()) {
+        accounts.push_back(*account);
+    }
+    shareHolder_.setRecords(view.fleet(), accounts);
+    borrower_.setRecords(view.fleet(), accounts);
+    for (const auto *kind : view.kinds()) {
+        membership_.subscribe(kind->service);
+    }
+    hooks_.viewChanged(view);
+}
+
+auto Controllers::start() -> void
+{
+    membership_.start();
+}
+
+auto Controllers::tick() -> void
+{
+    lease_.tick();
+    membership_.tick();
+    configuration_.tick();
+    shareHolder_.tick();
+    borrower_.tick();
+    if (!leaving_) {
+        followDuties();
+    }
+}
+
+auto Controllers::followDuties() -> void
+{
+    std::set<RightName> duties;
+    for (const auto &duty : membership_.duties()) {
+        duties.insert(duty.right);
+        if (contended_.insert(duty.right).second) {
+            lease_.contend(duty.right);
+        }
+    }
+    std::erase_if(contended_, [&](const RightName &right) {
+        if (duties.contains(right)) {
+            return false;
+        }
+        lease_.stopContending(right);
+        return true;
+    });
+    membership_.setHeldRights(lease_.heldRights());
+}
+
+auto Controllers::receive(const NodeAddress &from, const configuration::Message &message) -> void
+{
+    configuration_.receive(from, message);
+}
+
+auto Controllers::receive(const NodeAddress &from, const membership::Message &message) -> void
+{
+    membership_.receive(from, message);
+}
+
+auto Controllers::receive(const NodeAddress &from, const lease::Message &message) -> void
+{
+    lease_.receive(from, message);
+}
+
+auto Controllers::receive(const NodeAddress &from, const quota::Message &message) -> void
+{
+    shareHolder_.receive(from, message);
+    borrower_.receive(from, message);
+}
+
+auto Controllers::announce(const membership::EndpointState state,
+                           const std::uint32_t slots,
+                           const std::uint32_t connections) -> void
+{
+    membership_.setSlots(slots, connections);
+    membership_.setState(state);
+}
+
+auto Controllers::leave() -> void
+{
+    leaving_ = true;
+    membership_.leave();
+    lease_.releaseAll();
+}
+
+} // namespace jasminelatch::node
--- a/src/jasminelatch/wire/message.hpp
+++ b/src/jasminelatch/wire/message.hpp
@@ -2,7 +2,9 @@
 #define JASMINELATCH_WIRE_MESSAGE_HPP
 
 #include <jasminelatch/call/message.hpp>
+#include <jasminelatch/configuration/message.hpp>
 #include <jasminelatch/connection/message.hpp>
+#include <jasminelatch/lease/message.hpp>
 #include <jasminelatch/membership/message.hpp>
 #include <jasminelatch/quota/message.hpp>
 #include <jasminelatch/retry/message.hpp>
@@ -12,7 +14,13 @@
 namespace jasminelatch::wire {
 
 /*! @brief Any message between nodes; each alternative is the message type of one module. */
-using Message = std::variant<call::Message, connection::Message, membership::Message, quota::Message, retry::Message>;
+using Message = std::variant<call::Message,
+                             configuration::Message,
+                             connection::Message,
+                             lease::Message,
+                             membership::Message,
+                             quota::Message,
+                             retry::Message>;
 
 } // namespace jasminelatch::wire
 
