--- a/src/jasminelatch/configuration/controller.cpp
+++ b/src/jasminelatch/configuration/controller.cpp
@@ -80,6 +80,14 @@
     catchUp();
 }
 
+auto Controller::onPeerRevision(const NodeAddress &from, const Revision revision) -> void
+{
+    if (revision > view_->revision()) {
+        noteAhead(from, revision);
+        catchUp();
+    }
+}
+
 auto Controller::peerState() const -> PeerState
 {
     const auto now = clock_->now();
@@ -280,8 +288,13 @@
         freshness_.confirm(askedAt - state.age);
         return;
     }
-    if (!ahead_ || ahead_->revision < state.revision || ahead_->peer == from) {
-        ahead_ = Ahead{from, state.revision, 0};
+    noteAhead(from, state.revision);
+}
+
+auto Controller::noteAhead(const NodeAddress &from, const Revision revision) -> void
+{
+    if (!ahead_ || ahead_->revision < revision || ahead_->peer == from) {
+        ahead_ = Ahead{from, revision, 0};
     }
 }
 
--- a/src/jasminelatch/configuration/controller.hpp
+++ b/src/jasminelatch/configuration/controller.hpp
@@ -36,8 +36,8 @@
 public:
     /*! @brief Times and sizes. */
     struct Settings {
-        Duration staleAfter{std::chrono::seconds{5}}; /*!< Age from which keyed requests are refused. */
-        Duration askAfter{std::chrono::milliseconds{1500}}; /*!< Age from which a member asks its holder. */
+        Duration staleAfter{std::chrono::seconds{4}}; /*!< Age from which keyed requests are refused. */
+        Duration askAfter{std::chrono::seconds{1}}; /*!< Age from which a member asks its holder. */
         Duration askOthersAfter{std::chrono::milliseconds{2500}}; /*!< Age from which it asks other holders too. */
         Duration askInterval{std::chrono::seconds{1}}; /*!< Time between two such questions. */
         Duration fetchTimeout{
@@ -90,6 +90,13 @@
      */
     auto onPeerState(const NodeAddress &from, const PeerState &state, TimePoint askedAt) -> void;
 
+    /**
+     * @brief Takes the revision that a peer mentioned; asks it for what is newer. Confirms nothing.
+     * @param from Address of the peer.
+     * @param revision Revision in force at it.
+     */
+    auto onPeerRevision(const NodeAddress &from, Revision revision) -> void;
+
     /*! @brief Returns this node's state, to be sent in answers to heartbeats. */
     [[nodiscard]] auto peerState() const -> PeerState;
 
@@ -134,6 +141,7 @@
     auto handle(const NodeAddress &from, const Fetch &fetch) -> void;
     auto handle(const NodeAddress &from, const Changes &changes) -> void;
     auto handle(const NodeAddress &from, const Snapshot &snapshot) -> void;
+    auto noteAhead(const NodeAddress &from, Revision revision) -> void;
     auto handleState(const NodeAddress &from, const PeerState &state, TimePoint askedAt) -> void;
     [[nodiscard]] auto changesAfter(Revision after) const -> std::vector<ChangeSet>;
     [[nodiscard]] auto snapshotPart(const Fetch &fetch) -> Snapshot;
--- a/src/jasminelatch/configuration/store_reader.hpp
+++ b/src/jasminelatch/configuration/store_reader.hpp
@@ -26,9 +26,10 @@
 public:
     /*! @brief Times of the reader. */
     struct Settings {
-        Duration watchWait{std::chrono::seconds{1}}; /*!< Longest wait of one watch. */
-        Duration answerTimeout{std::chrono::seconds{1}}; /*!< Time, beside the wait, after which a call is given up. */
-        Duration retryInterval{std::chrono::seconds{1}}; /*!< Least time between calls while they fail. */
+        Duration watchWait{std::chrono::milliseconds{500}}; /*!< Longest wait of one watch. */
+        Duration answerTimeout{
+            std::chrono::milliseconds{750}}; /*!< Time, beside the wait, after which a call is given up. */
+        Duration retryInterval{std::chrono::milliseconds{750}}; /*!< Least time between calls while they fail. */
     };
 
     /*! @brief What the reader needs. */
