--- a/src/jasminelatch/configuration/controller.cpp
+++ b/src/jasminelatch/configuration/controller.cpp
@@ -225,6 +225,7 @@
     if (fetch.probe) {
         probeAskedAt_ = clock_->now();
     }
+    onPeerRevision(from, fetch.after);
     if (!fetch.wantsChanges || fetch.after >= view_->revision()) {
         hooks_.send(from, Changes{fetch.id, peerState(), {}});
         return;
