Membership: cells, heartbeats, aggregated records and pushes

Members send heartbeats to the holder of their cell; the holder writes one record for all of them and follows the other cells with one watch.

Pushes are repeated until a heartbeat shows the pushed version.

--- a/src/jasminelatch/membership/controller.hpp
+++ b/src/jasminelatch/membership/controller.hpp
@@ -25,6 +25,7 @@
 namespace internal {
 class HolderRole;
 class MemberRole;
+struct Context;
 } // namespace internal
 
 /*! @brief Where a node stands in the fleet. */
@@ -194,8 +195,16 @@
     [[nodiscard]] auto fleet() const -> const Fleet *;
 
 private:
+    auto skipPause() -> void;
+    auto checkRight() -> void;
+    auto tickHolder() -> void;
+    auto tickLeaving() -> void;
+
+    std::unique_ptr<internal::Context> context_;
     std::unique_ptr<internal::MemberRole> member_;
-    std::unique_ptr<internal::HolderRole> holder_;
+    std::unique_ptr<internal::HolderRole> holder_; // Kept while the right is lost, as it may come back.
+    bool isHolder_{};
+    TimePoint lastTick_;
 };
 
 } // namespace jasminelatch::membership
--- a/src/jasminelatch/membership/settings.hpp
+++ b/src/jasminelatch/membership/settings.hpp
@@ -24,6 +24,7 @@
     Duration storeRetry{std::chrono::seconds{1}}; /*!< First delay after an unanswered store call; it doubles. */
     Duration storeRetryLimit{std::chrono::seconds{4}}; /*!< Longest delay after an unanswered store call. */
     Duration pushInterval{std::chrono::milliseconds{100}}; /*!< Between pushes to the members of a cell. */
+    Duration pushRepeatInterval{std::chrono::milliseconds{250}}; /*!< Between repeats of an unacknowledged push. */
     Duration leavingInterval{std::chrono::milliseconds{200}}; /*!< Between repeats of an unanswered `Leaving`. */
     Duration leavingTimeout{std::chrono::seconds{2}}; /*!< Time after which a leaving node waits for nobody. */
     Duration departureMemory{std::chrono::minutes{1}}; /*!< How long late heartbeats of a departed node are refused. */
