Aim the lease's faults at holder and successor

Restart takes the record over without regard to own promises: it can't read its own name while another node holds.

--- a/src/jasminelatch/lease/lease_controller_store.cpp
+++ b/src/jasminelatch/lease/lease_controller_store.cpp
@@ -247,9 +247,8 @@
         const auto kind = state.record->holder.empty() ? AcquisitionKind::Reclaimed : AcquisitionKind::TakenOver;
         return mayTakeReleased(state) ? std::optional{kind} : std::nullopt;
     }
-    const auto now = clock_->now();
     if (state.record->holder == self_) {
-        return now >= state.promisedUntil ? std::optional{AcquisitionKind::Restarted} : std::nullopt;
+        return AcquisitionKind::Restarted;
     }
     return mayTakeOver(state) ? std::optional{AcquisitionKind::TakenOver} : std::nullopt;
 }
--- a/test/jasminelatch/lease/fleet.hpp
+++ b/test/jasminelatch/lease/fleet.hpp
@@ -65,6 +65,18 @@
         return result;
     }
 
+    /*! @brief Returns the machine that a node knows as the right's successor; any machine when it knows none. */
+    [[nodiscard]] auto successorOf(const std::size_t index) -> std::size_t
+    {
+        const auto successor = runs(index) ? node(index).successor(right) : NodeAddress{};
+        for (std::size_t other = 0; other < nodes_.size(); ++other) {
+            if (address(other) == successor) {
+                return other;
+            }
+        }
+        return world.anyMachine();
+    }
+
     auto step(const Duration length) -> void
     {
         const auto tick = [this](const std::size_t index) {
--- a/test/jasminelatch/lease/lease_controller.cpp
+++ b/test/jasminelatch/lease/lease_controller.cpp
@@ -13,46 +13,82 @@
 
 namespace internal {
 
-constexpr Duration scheduleLength{120s};
-constexpr double faultsPerSecond = 1.0;
+constexpr Duration scheduleLength{300s};
+constexpr double faultsPerSecond = 0.7;
 
-auto hostileFaults() -> test::Faults
+template<typename T>
+auto pick(const std::uint64_t seed, const std::uint64_t divisor, const std::vector<T> &values) -> T
+{
+    return values[seed / divisor % values.size()];
+}
+
+auto hostileFaults(const std::uint64_t seed) -> test::Faults
 {
     test::Faults faults;
-    faults.loss = 0.05;
+    faults.loss = 0.03;
     faults.duplicate = 0.05;
-    faults.messageDelay = 300ms;
-    faults.slowStore = 0.15;
-    faults.clockRateDrift = 0.05;
+    faults.messageDelay = pick<Duration>(seed, 1, {20ms, 300ms, 2s});
+    faults.slowStore = pick<double>(seed, 3, {0.03, 0.3});
+    faults.storeTimeout = pick<Duration>(seed, 6, {1s, 6s});
+    faults.clockRateDrift = pick<double>(seed, 12, {0.2, 0.01});
     return faults;
 }
 
+auto hostileSettings(const std::uint64_t seed) -> Settings
+{
+    Settings settings;
+    settings.clockRateDrift = pick<double>(seed, 12, {0.2, 0.01});
+    settings.promiseTtl = pick<Duration>(seed, 24, {2s, 10s});
+    return settings;
+}
+
+/*! @brief Prefers the holder and its successor. */
+auto pickTarget(Fleet &fleet) -> std::size_t
+{
+    const auto holders = fleet.holders();
+    if (holders.empty() || fleet.world.chance(0.25)) {
+        return fleet.world.anyMachine();
+    }
+    return fleet.world.chance(0.7) ? holders[0] : fleet.successorOf(holders[0]);
+}
+
+auto isolate(Fleet &fleet, const std::size_t index, const Duration length) -> void
+{
+    fleet.world.cutFromStore(index, length);
+    for (std::size_t other = 0; other < fleet.world.size(); ++other) {
+        fleet.world.cut(index, other, length);
+    }
+}
+
 /*! @brief Lets one fault begin that ends by itself. */
 auto beginFault(Fleet &fleet, std::vector<Duration> &downUntil) -> void
 {
     auto &world = fleet.world;
-    const auto index = world.anyMachine();
-    switch (world.random()() % 7) {
+    const auto index = pickTarget(fleet);
+    switch (world.random()() % 8) {
     case 0:
         world.pause(index, world.upTo(12s));
         return;
     case 1:
     case 2:
-        world.cut(index, world.anyMachine(), world.upTo(15s));
+        world.cut(index, fleet.successorOf(index), world.upTo(20s));
         return;
     case 3:
     case 4:
         world.cutFromStore(index, world.upTo(20s));
         return;
     case 5:
-        world.takeStoreDown(world.upTo(15s));
+        isolate(fleet, index, world.upTo(20s));
+        return;
+    case 6:
+        world.takeStoreDown(world.upTo(10s));
         return;
     default:
         break;
     }
     if (fleet.runs(index)) {
         fleet.stop(index);
-        downUntil[index] = world.elapsed() + world.upTo(5s);
+        downUntil[index] = world.elapsed() + world.upTo(2s);
     }
 }
 
@@ -83,13 +119,6 @@
     return static_cast<double>(held) / static_cast<double>(steps);
 }
 
-auto hostileSettings() -> Settings
-{
-    Settings settings;
-    settings.clockRateDrift = 0.05;
-    return settings;
-}
-
 /*! @brief Returns the share of a store outage in which the right was held, after a quiet start. */
 auto shareHeldInOutage(const bool promisesEnabled, const Duration outage) -> double
 {
@@ -118,7 +147,7 @@
 RC_GTEST_PROP(LeaseController, NeverHasTwoHolders, (const std::uint64_t seed))
 {
     const auto size = 3 + static_cast<std::size_t>(seed % 3);
-    Fleet fleet{seed, size, internal::hostileFaults(), internal::hostileSettings()};
+    Fleet fleet{seed, size, internal::hostileFaults(seed), internal::hostileSettings(seed)};
     internal::runHostileSchedule(fleet);
     RC_ASSERT(fleet.mostHolders <= 1U);
     // The schedule's faults end by themselves: the right comes back.
