--- a/src/jasminelatch/quota/borrower.cpp
+++ b/src/jasminelatch/quota/borrower.cpp
@@ -174,11 +174,13 @@
 
 auto Borrower::refuseWaitersInVain(AccountState &state) -> void
 {
-    if (tokensUnderway(state) > 0) {
+    if (state.waiters.empty() || tokensUnderway(state) > 0) {
         return;
     }
-    for (auto &waiter : std::exchange(state.waiters, {})) {
-        refuse(state, std::move(waiter.callback));
+    const auto hopeful = sharesWorthAskingBy(state, state.waiters.front().deadline);
+    while (state.waiters.size() > hopeful) {
+        refuse(state, std::move(state.waiters.back().callback));
+        state.waiters.pop_back();
     }
 }
 
--- a/src/jasminelatch/quota/borrower.hpp
+++ b/src/jasminelatch/quota/borrower.hpp
@@ -134,6 +134,8 @@
     [[nodiscard]] auto tokensUnderway(const AccountState &state) const -> std::uint32_t;
     [[nodiscard]] auto tokensMissing(const AccountState &state) const -> double;
     [[nodiscard]] auto holderOf(const AccountState &state, std::size_t position) const -> std::optional<NodeAddress>;
+    [[nodiscard]] auto sharesWorthAskingBy(const AccountState &state, TimePoint limit) const -> std::size_t;
+    [[nodiscard]] auto lendable(const AccountState &state, std::size_t position) const -> double;
     [[nodiscard]] auto chooseShare(const AccountState &state, double wanted) const -> std::optional<std::size_t>;
     auto planForWaiters(AccountState &state, Asks &asks) -> void;
     auto planAhead(Asks &asks) -> void;
--- a/src/jasminelatch/quota/borrower_loans.cpp
+++ b/src/jasminelatch/quota/borrower_loans.cpp
@@ -12,7 +12,7 @@
 
 constexpr double smallestAheadPart = 0.25; // of a share's burst, for asks that nobody waits for
 constexpr double lowStockPart = 0.25; // of the stock target, below which the next plan is brought forward
-constexpr int renewalDivisor = 4; // loans are renewed in the last quarter of their lifetime
+constexpr int renewalDivisor = 2; // loans are renewed in the last half of their lifetime
 
 } // namespace
 
@@ -46,6 +46,25 @@
     return hooks_.holderOf(rightName({state.split.group, state.split.shares[position]}));
 }
 
+auto Borrower::sharesWorthAskingBy(const AccountState &state, const TimePoint limit) const -> std::size_t
+{
+    const auto now = clock_->now();
+    std::size_t count = 0;
+    for (std::size_t position = 0; position < state.shares.size(); ++position) {
+        const auto inTime = now + state.shares[position].view.timeUntilWorthAsking(now) < limit;
+        count += inTime && holderOf(state, position) ? 1 : 0;
+    }
+    return count;
+}
+
+auto Borrower::lendable(const AccountState &state, const std::size_t position) const -> double
+{
+    const auto now = clock_->now();
+    const auto limit = now + settings_.loanLifetime / renewalDivisor;
+    const auto returned = state.loans.unspentBefore(limit, state.split.shares[position]);
+    return state.shares[position].view.likelyLevel(now) + returned;
+}
+
 auto Borrower::chooseShare(const AccountState &state, const double wanted) const -> std::optional<std::size_t>
 {
     const auto now = clock_->now();
@@ -56,10 +75,10 @@
     for (std::size_t offset = 0; offset < count; ++offset) {
         const auto position = (state.preferred + offset) % count;
         const auto &share = state.shares[position];
-        if (share.openAsk != 0 || !share.view.worthAsking(now) || !holderOf(state, position)) {
+        const auto level = lendable(state, position);
+        if (share.openAsk != 0 || level < 1.0 || !share.view.mayAsk(now) || !holderOf(state, position)) {
             continue;
         }
-        const auto level = share.view.likelyLevel(now);
         if (level >= wanted) {
             return position;
         }
@@ -102,8 +121,7 @@
         if (!position) {
             return;
         }
-        const auto likely = state.shares[*position].view.likelyLevel(clock_->now());
-        const auto tokens = std::max(1.0, std::floor(std::min(missing, likely)));
+        const auto tokens = std::floor(std::min(missing, lendable(state, *position)));
         planAsk(state, *position, static_cast<std::uint32_t>(tokens), asks);
         missing -= tokens;
     }
--- a/src/jasminelatch/quota/loan_book.cpp
+++ b/src/jasminelatch/quota/loan_book.cpp
@@ -44,7 +44,7 @@
 auto LoanBook::closeExpiringBefore(const TimePoint limit, const std::uint32_t share) -> void
 {
     for (auto &loan : loans_) {
-        if (loan.share == share && loan.expiry < limit) {
+        if (loan.share == share && loan.expiry <= limit) {
             loan.closed = true;
         }
     }
@@ -87,4 +87,14 @@
     return tokens;
 }
 
+auto LoanBook::unspentBefore(const TimePoint limit, const std::uint32_t share) const -> std::uint32_t
+{
+    std::uint32_t tokens = 0;
+    for (const auto &loan : loans_) {
+        const auto counts = loan.share == share && !loan.closed && loan.expiry <= limit;
+        tokens += counts ? loan.tokens - loan.spent : 0;
+    }
+    return tokens;
+}
+
 } // namespace jasminelatch::quota::internal
--- a/src/jasminelatch/quota/loan_book.hpp
+++ b/src/jasminelatch/quota/loan_book.hpp
@@ -40,7 +40,7 @@
 
     /**
      * @brief Closes the loans of one share that are about to expire, so that their rest can be returned.
-     * @param limit Loans with an earlier expiry are closed.
+     * @param limit Loans that expire by then are closed.
      * @param share Index of the share.
      */
     auto closeExpiringBefore(TimePoint limit, std::uint32_t share) -> void;
@@ -72,6 +72,14 @@
      */
     [[nodiscard]] auto available(TimePoint until) const -> std::uint32_t;
 
+    /**
+     * @brief Returns the unspent tokens of one share that expire by a time.
+     * @param limit The time.
+     * @param share Index of the share.
+     * @return Tokens that `closeExpiringBefore` would return.
+     */
+    [[nodiscard]] auto unspentBefore(TimePoint limit, std::uint32_t share) const -> std::uint32_t;
+
     /**
      * @brief Tells whether no loan is known.
      * @return True when there is nothing to spend or report.
--- a/src/jasminelatch/quota/share_view.cpp
+++ b/src/jasminelatch/quota/share_view.cpp
@@ -56,11 +56,6 @@
     return std::min(burst_, level_ + rate_ * Seconds{now - updated_}.count());
 }
 
-auto ShareView::worthAsking(const TimePoint now) const -> bool
-{
-    return timeUntilWorthAsking(now) == Duration::zero();
-}
-
 auto ShareView::timeUntilWorthAsking(const TimePoint now) const -> Duration
 {
     const auto toToken = timeToToken(likelyLevel(now));
--- a/src/jasminelatch/quota/share_view.hpp
+++ b/src/jasminelatch/quota/share_view.hpp
@@ -43,11 +43,11 @@
     [[nodiscard]] auto likelyLevel(TimePoint now) const -> double;
 
     /**
-     * @brief Tells whether asking is worth a message.
+     * @brief Tells whether asking is allowed.
      * @param now Present time.
-     * @return True when a whole token is likely and no earlier refusal or failure is too recent.
+     * @return True when no earlier refusal or failure is too recent.
      */
-    [[nodiscard]] auto worthAsking(TimePoint now) const -> bool;
+    [[nodiscard]] auto mayAsk(TimePoint now) const -> bool { return now >= notBefore_; }
 
     /**
      * @brief Returns the time until asking is worth a message.
