--- a/src/jasminelatch/admission/concurrency_limit.cpp
+++ b/src/jasminelatch/admission/concurrency_limit.cpp
@@ -53,9 +53,14 @@
     ++latencyCount_;
 }
 
-auto ConcurrencyLimit::addShed() -> void
+auto ConcurrencyLimit::addShed(const std::size_t inFlight) -> void
 {
     ++shedCount_;
+    coldStart_ = false;
+    probing_ = false;
+    ceiling_ = limit_;
+    ceilingAt_ = clock_->now();
+    set(std::min(limit_, static_cast<double>(inFlight)));
 }
 
 auto ConcurrencyLimit::use(const std::size_t inFlight) -> void
@@ -97,12 +102,10 @@
 
 auto ConcurrencyLimit::endWindow() -> void
 {
-    const auto samples = latencyCount_ + shedCount_;
     if (settling_) {
         settling_ = false;
-    } else if (samples > 0) {
-        const auto latency = latencyCount_ == 0 ? baseline_ : latencySum_ / static_cast<double>(latencyCount_);
-        judge(latency, static_cast<double>(shedCount_) / static_cast<double>(samples));
+    } else if (latencyCount_ > 0 && shedCount_ == 0) {
+        judge(latencySum_ / static_cast<double>(latencyCount_));
     }
     windowStart_ = clock_->now();
     latencySum_ = 0;
@@ -111,12 +114,8 @@
     highestUse_ = 0;
 }
 
-auto ConcurrencyLimit::judge(const double latency, const double shedShare) -> void
+auto ConcurrencyLimit::judge(const double latency) -> void
 {
-    if (shedShare > 0) {
-        onShed(shedShare);
-        return;
-    }
     if (probing_) {
         probing_ = false;
         probeAt_ = clock_->now();
@@ -133,16 +132,6 @@
     grow(latency);
 }
 
-auto ConcurrencyLimit::onShed(const double shedShare) -> void
-{
-    coldStart_ = false;
-    probing_ = false;
-    ceiling_ = limit_;
-    ceilingAt_ = clock_->now();
-    settling_ = true;
-    set(limit_ * std::max(settings_.strongestCut, 1.0 - shedShare));
-}
-
 auto ConcurrencyLimit::onQueueing(const double latency) -> void
 {
     coldStart_ = false;
--- a/src/jasminelatch/admission/concurrency_limit.hpp
+++ b/src/jasminelatch/admission/concurrency_limit.hpp
@@ -43,8 +43,11 @@
      */
     auto addLatency(Duration latency) -> void;
 
-    /*! @brief Takes in a shed answer of the backend server. */
-    auto addShed() -> void;
+    /**
+     * @brief Takes in a shed answer of the backend server: the limit falls at once to what it holds.
+     * @param inFlight Requests at the backend server without the one shed.
+     */
+    auto addShed(std::size_t inFlight) -> void;
 
     /**
      * @brief Takes in the present use, each time a request starts.
@@ -64,8 +67,7 @@
 private:
     auto restart(double limit) -> void;
     auto endWindow() -> void;
-    auto judge(double latency, double shedShare) -> void;
-    auto onShed(double shedShare) -> void;
+    auto judge(double latency) -> void;
     auto onQueueing(double latency) -> void;
     auto grow(double latency) -> void;
     auto startProbe() -> void;
--- a/src/jasminelatch/admission/controller.cpp
+++ b/src/jasminelatch/admission/controller.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/*! @brief Weight of one completion in the estimate of the service time. */
-constexpr double serviceTimeWeight = 0.1;
+/*! @brief Completions that the estimate of the service time rests on. */
+constexpr int serviceTimeMemory = 10;
+/*! @brief Mean deviations of the service time that a request from the queue must have to spare. */
+constexpr int deviationMargin = 2;
 /*! @brief Smallest and largest share of the arrivals that one lowering of the level cuts. */
 constexpr double weakestLevelCut = 0.05;
 constexpr double strongestLevelCut = 0.3;
@@ -89,6 +91,7 @@
 
 auto Controller::tick() -> void
 {
+    heldByShed_ = false;
     if (settings_.mode == Mode::Adaptive) {
         limit_.tick();
         expire();
@@ -137,12 +140,12 @@
         refuse(item.id, RefusalReason::DeadlineExpired);
         return;
     }
-    if (isHopeless(item, Duration::zero())) {
+    if (isHopeless(item)) {
         refuse(item.id, RefusalReason::DeadlineTooShort);
         return;
     }
     const auto wait = hasPlace() ? Duration::zero() : waitAfter(queue_.ahead(item.importance, item.account));
-    if (isHopeless(item, wait)) {
+    if (wait > Duration::zero() && isHopelessAfter(item, wait)) {
         ++overloadRefusals_;
         refuse(item.id, RefusalReason::DeadlineTooShort);
         return;
@@ -192,7 +195,7 @@
     if (!item) {
         return false;
     }
-    if (settings_.mode == Mode::Adaptive && isHopeless(*item, Duration::zero())) {
+    if (settings_.mode == Mode::Adaptive && isHopelessAfter(*item, Duration::zero())) {
         ++overloadRefusals_;
         const auto isLate = item->deadline <= clock_->now();
         refuse(item->id, isLate ? RefusalReason::DeadlineExpired : RefusalReason::DeadlineTooShort);
@@ -212,7 +215,7 @@
 
 auto Controller::expire() -> void
 {
-    const auto late = queue_.removeIf([&](const Item &item) { return isHopeless(item, Duration::zero()); });
+    const auto late = queue_.removeIf([&](const Item &item) { return isHopelessAfter(item, Duration::zero()); });
     for (const auto &item : late) {
         ++overloadRefusals_;
         const auto isLate = item.deadline <= clock_->now();
@@ -230,7 +233,8 @@
 {
     if (completion.result == Result::ShedByBackend) {
         counters_->add("admission.shed_by_backend");
-        limit_.addShed();
+        limit_.addShed(running_.size());
+        heldByShed_ = running_.empty();
         return;
     }
     if (completion.result == Result::Failed) {
@@ -238,8 +242,9 @@
     }
     limit_.addLatency(completion.latency);
     const auto estimate = serviceTime();
-    const auto change = static_cast<double>((completion.latency - estimate).count()) * serviceTimeWeight;
-    serviceTime_ = estimate + Duration{static_cast<Duration::rep>(change)};
+    const auto error = completion.latency - estimate;
+    serviceTime_ = estimate + error / serviceTimeMemory;
+    deviation_ += (std::chrono::abs(error) - deviation_) / serviceTimeMemory;
     serviceTimeAt_ = clock_->now();
 }
 
@@ -283,12 +288,17 @@
 
 auto Controller::hasPlace() const noexcept -> bool
 {
-    return settings_.mode == Mode::Off || running_.size() < limit();
+    return settings_.mode == Mode::Off || (!heldByShed_ && running_.size() < limit());
 }
 
-auto Controller::isHopeless(const Item &item, const Duration wait) const -> bool
+auto Controller::isHopeless(const Item &item) const -> bool
 {
-    return clock_->now() + wait + serviceTime() > item.deadline;
+    return clock_->now() + serviceTime() > item.deadline;
+}
+
+auto Controller::isHopelessAfter(const Item &item, const Duration wait) const -> bool
+{
+    return clock_->now() + wait + serviceTime() + deviationMargin * deviation_ > item.deadline;
 }
 
 auto Controller::waitAfter(const std::size_t ahead) const -> Duration
--- a/src/jasminelatch/admission/controller.hpp
+++ b/src/jasminelatch/admission/controller.hpp
@@ -138,7 +138,8 @@
     auto adjustLevel() -> void;
     auto lowerOpenness(double excess) -> void;
     [[nodiscard]] auto hasPlace() const noexcept -> bool;
-    [[nodiscard]] auto isHopeless(const Item &item, Duration wait) const -> bool;
+    [[nodiscard]] auto isHopeless(const Item &item) const -> bool;
+    [[nodiscard]] auto isHopelessAfter(const Item &item, Duration wait) const -> bool;
     [[nodiscard]] auto waitAfter(std::size_t ahead) const -> Duration;
     [[nodiscard]] auto serviceTime() const -> Duration;
     [[nodiscard]] auto retryAfter() const -> Duration;
@@ -152,6 +153,7 @@
     std::unordered_map<RequestId, TimePoint> running_;
     std::map<ServiceName, DownstreamReport> downstream_;
     Duration serviceTime_;
+    Duration deviation_{};
     TimePoint serviceTimeAt_;
     TimePoint levelAt_;
     double openness_{static_cast<double>(importanceCount)};
@@ -159,6 +161,7 @@
     std::uint64_t overloadRefusals_{};
     Duration longestWait_{};
     bool dispatching_{};
+    bool heldByShed_{};
 };
 
 } // namespace jasminelatch::admission
--- a/src/jasminelatch/admission/upstream_gate.cpp
+++ b/src/jasminelatch/admission/upstream_gate.cpp
@@ -87,7 +87,6 @@
     for (auto &[account, offered] : demand.offered) {
         offered *= factor;
     }
-    demand.fairShare *= factor;
     std::erase_if(demand.offered, [](const auto &entry) { return entry.second < forgottenDemand; });
     demand.fadedAt = clock_->now();
 }
--- a/src/jasminelatch/balance/picker.cpp
+++ b/src/jasminelatch/balance/picker.cpp
@@ -206,20 +206,25 @@
     return copes ? own : all;
 }
 
-auto Picker::draw(const std::span<const Candidate> candidates) -> std::size_t
+auto Picker::draw(const std::span<const Candidate> candidates, const Candidate *without) -> const Candidate &
 {
     auto total = 0.0;
     for (const auto &each : candidates) {
-        total += each.capacity;
+        total += &each == without ? 0.0 : each.capacity;
     }
     auto left = std::uniform_real_distribution<double>{0.0, total}(random_);
-    for (std::size_t index = 0; index + 1 < candidates.size(); ++index) {
-        left -= candidates[index].capacity;
+    const Candidate *last = nullptr;
+    for (const auto &each : candidates) {
+        if (&each == without) {
+            continue;
+        }
+        last = &each;
+        left -= each.capacity;
         if (left < 0) {
-            return index;
+            break;
         }
     }
-    return candidates.size() - 1;
+    return *last;
 }
 
 auto Picker::drawBetter(const std::span<const Candidate> candidates) -> const Candidate &
@@ -227,8 +232,11 @@
     const auto relativeLoad = [](const Candidate &each) {
         return (each.load + 1.0) / each.capacity;
     };
-    const auto &first = candidates[draw(candidates)];
-    const auto &second = candidates[draw(candidates)];
+    const auto &first = draw(candidates, nullptr);
+    if (candidates.size() == 1) {
+        return first;
+    }
+    const auto &second = draw(candidates, &first);
     return relativeLoad(first) <= relativeLoad(second) ? first : second;
 }
 
--- a/src/jasminelatch/balance/picker.hpp
+++ b/src/jasminelatch/balance/picker.hpp
@@ -122,7 +122,7 @@
     [[nodiscard]] auto rampShare(const Track &track) const -> double;
     [[nodiscard]] auto isAvoided(const Track &track) const -> bool;
     [[nodiscard]] auto preferOwnDomain(std::vector<Candidate> all) const -> std::vector<Candidate>;
-    [[nodiscard]] auto draw(std::span<const Candidate> candidates) -> std::size_t;
+    [[nodiscard]] auto draw(std::span<const Candidate> candidates, const Candidate *without) -> const Candidate &;
     [[nodiscard]] auto drawBetter(std::span<const Candidate> candidates) -> const Candidate &;
 
     Settings settings_;
