--- a/src/jasminelatch/core/refusal.cpp
+++ b/src/jasminelatch/core/refusal.cpp
@@ -28,6 +28,7 @@
     {"order_holder_unavailable", 503},
     {"outcome_unknown", 500},
     {"account_rate", 429},
+    {"quota_unavailable", 503},
     {"shed", 503},
     {"queue_full", 503},
     {"no_backend", 503},
--- a/src/jasminelatch/core/refusal.hpp
+++ b/src/jasminelatch/core/refusal.hpp
@@ -33,6 +33,7 @@
     OrderHolderUnavailable,
     OutcomeUnknown,
     AccountRate,
+    QuotaUnavailable,
     Shed,
     QueueFull,
     NoBackend,
--- a/src/jasminelatch/node/request_path.cpp
+++ b/src/jasminelatch/node/request_path.cpp
@@ -29,6 +29,21 @@
     return retry;
 }
 
+auto toVerdict(const quota::Decision &decision) -> filter::Verdict
+{
+    switch (decision.verdict) {
+    case quota::Verdict::Granted:
+        return filter::pass();
+    case quota::Verdict::OverRate:
+        return filter::refuse(RefusalReason::AccountRate, decision.retryAfter);
+    case quota::Verdict::NoHolder:
+        return filter::refuse(RefusalReason::QuotaUnavailable, decision.retryAfter);
+    case quota::Verdict::UnknownAccount:
+        break;
+    }
+    return filter::refuse(RefusalReason::UnknownKey);
+}
+
 } // namespace internal
 
 RequestPath::RequestPath(const Settings &settings,
@@ -107,9 +122,7 @@
                     return filter::pass();
                 }
                 controllers_->borrower().acquire(exchange.account, [resume](const quota::Decision &decision) {
-                    resume(decision.verdict == quota::Verdict::Granted
-                               ? filter::pass()
-                               : filter::refuse(RefusalReason::AccountRate, decision.retryAfter));
+                    resume(internal::toVerdict(decision));
                 });
                 return filter::wait();
             }};
