Requests name the incarnation they are meant for

A request now carries the incarnation that its sender had confirmed, and another incarnation refuses it; 'not run' is only ever said for such requests.

--- a/src/jasminelatch/admission/fair_queue.cpp
+++ b/src/jasminelatch/admission/fair_queue.cpp
@@ -122,12 +122,11 @@
 
 auto FairQueue::takeNewest(Lane &lane, const AccountName &account) -> Item
 {
-    const auto name = account;
-    auto &queue = lane.accounts.at(name);
+    auto &queue = lane.accounts.at(account);
     auto item = std::move(queue.back());
     queue.pop_back();
     --lane.size;
-    dropIfEmpty(lane, name);
+    dropIfEmpty(lane, account);
     return item;
 }
 
@@ -137,8 +136,8 @@
     if (!queue->second.empty()) {
         return;
     }
-    lane.accounts.erase(queue);
     lane.turns.erase(std::find(lane.turns.begin(), lane.turns.end(), account));
+    lane.accounts.erase(queue);
 }
 
 auto FairQueue::forget(const Item &item) -> void
--- a/src/jasminelatch/connection/answer_cache.cpp
+++ b/src/jasminelatch/connection/answer_cache.cpp
@@ -14,8 +14,12 @@
 {
 }
 
-auto AnswerCache::begin(const RequestId &id) -> bool
+auto AnswerCache::begin(const RequestId &id, const Incarnation target) -> bool
 {
+    if (target != 0 && target != incarnation_) {
+        counters_->add("connection.meant_for_other_incarnation");
+        return false;
+    }
     const auto known = entries_.find(id);
     if (known != entries_.end()) {
         counters_->add(known->second.state == State::Refused ? "connection.refused_late" : "connection.duplicate");
--- a/src/jasminelatch/connection/answer_cache.hpp
+++ b/src/jasminelatch/connection/answer_cache.hpp
@@ -54,9 +54,11 @@
     /**
      * @brief Takes on a request; to be called before anything is run for it.
      * @param id The request.
-     * @return False when it must not run: it was taken on before, or was declared not run.
+     * @param target Incarnation that it was sent to, as `Monitor::sent` returned it; zero when that was not known.
+     * @return False when it must not run: it was taken on before, was declared not run, or was meant for another
+     * incarnation. Its outcome is then unknown here.
      */
-    [[nodiscard]] auto begin(const RequestId &id) -> bool;
+    [[nodiscard]] auto begin(const RequestId &id, Incarnation target = {}) -> bool;
 
     /**
      * @brief Keeps the answer to a request; a refusal is an answer too.
--- a/src/jasminelatch/connection/monitor.cpp
+++ b/src/jasminelatch/connection/monitor.cpp
@@ -39,19 +39,19 @@
     }
 }
 
-auto Monitor::sent(const NodeAddress &peer, const RequestId &id) -> void
+auto Monitor::sent(const NodeAddress &peer, const RequestId &id) -> Incarnation
 {
     auto &known = peerFor(peer);
     const auto now = clock_->now();
     known.usedAt = now;
-    known.pending.insert_or_assign(id, Pending{known.incarnation, now, known.link != Link::Open});
+    const auto target = known.confirmed ? known.incarnation : Incarnation{};
+    known.pending.insert_or_assign(id, Pending{target, now, known.link != Link::Open});
     if (known.link == Link::Lost) {
         startReopening(peer, known);
-        return;
-    }
-    if (known.link == Link::Open && now - known.heartbeatAt >= settings_.heartbeatInterval) {
+    } else if (known.link == Link::Open && now - known.heartbeatAt >= settings_.heartbeatInterval) {
         sendHeartbeat(peer, known);
     }
+    return target;
 }
 
 auto Monitor::answered(const NodeAddress &peer, const RequestId &id) -> bool
@@ -302,10 +302,9 @@
 
 auto Monitor::settle(Peer &peer, const RequestId &id, const Outcome outcome) -> void
 {
-    const auto name = id;
-    peer.pending.erase(name);
+    peer.pending.erase(id);
     counters_->add("connection.outcome_" + std::string{toString(outcome)});
-    hooks_.outcome(name, outcome);
+    hooks_.outcome(id, outcome);
 }
 
 auto Monitor::forgivePause() -> void
--- a/src/jasminelatch/connection/monitor.hpp
+++ b/src/jasminelatch/connection/monitor.hpp
@@ -74,11 +74,12 @@
     auto closed(const NodeAddress &peer) -> void;
 
     /**
-     * @brief Tells that a request was sent.
+     * @brief Tells that a request is being sent.
      * @param peer Where to.
      * @param id The request.
+     * @return Incarnation that the request must carry for `AnswerCache::begin`; zero while the peer is not confirmed.
      */
-    auto sent(const NodeAddress &peer, const RequestId &id) -> void;
+    auto sent(const NodeAddress &peer, const RequestId &id) -> Incarnation;
 
     /**
      * @brief Tells that an answer arrived, a refusal included.
