--- a/src/jasminelatch/call/dispatcher.cpp
+++ b/src/jasminelatch/call/dispatcher.cpp
@@ -79,7 +79,7 @@
     attemptSomewhere(id);
 }
 
-auto Dispatcher::attemptSomewhere(const RequestId &job) -> void
+auto Dispatcher::attemptSomewhere(const RequestId job) -> void
 {
     const auto position = running_.find(job);
     if (position == running_.end()) {
@@ -247,7 +247,7 @@
     finish(id, internal::toResult(RefusalReason::DeadlineExpired, outcome, internal::noInstanceRetryAfter));
 }
 
-auto Dispatcher::finish(const RequestId &job, JobResult result) -> void
+auto Dispatcher::finish(const RequestId job, JobResult result) -> void
 {
     if (running_.erase(job) > 0) {
         hooks_.done(job, std::move(result));
--- a/src/jasminelatch/call/dispatcher.hpp
+++ b/src/jasminelatch/call/dispatcher.hpp
@@ -112,10 +112,10 @@
     };
 
     auto attemptOn(Running &running, const NodeAddress &node) -> void;
-    auto attemptSomewhere(const RequestId &job) -> void;
+    auto attemptSomewhere(RequestId job) -> void;
     auto takeAttempt(const RequestId &attempt) -> Running *;
     auto onFailure(Running &running, retry::Reason reason, JobResult result, Outcome outcome) -> void;
-    auto finish(const RequestId &job, JobResult result) -> void;
+    auto finish(RequestId job, JobResult result) -> void;
     auto expire(Running &running) -> void;
 
     const Clock *clock_;
--- a/src/jasminelatch/node/core.cpp
+++ b/src/jasminelatch/node/core.cpp
@@ -3,6 +3,7 @@
 #include <jasminelatch/wire/codec.hpp>
 
 #include <boost/leaf/handle_errors.hpp>
+#include <glog/logging.h>
 
 #include <type_traits>
 #include <utility>
@@ -178,14 +179,14 @@
         requestPath_.heard(from);
         boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<void> {
-                auto message = wire::decode({data, bytes.size()});
-                if (!message) {
-                    return message.error();
-                }
-                deliver(from, *message);
+                BOOST_LEAF_AUTO(message, wire::decode({data, bytes.size()}));
+                deliver(from, message);
                 return {};
             },
-            [&](const wire::DecodeError &) { counters_.add("wire.malformed"); },
+            [&](const wire::DecodeError &error) {
+                counters_.add("wire.malformed");
+                LOG(WARNING) << "wire: dropped a message of " << from << ", " << error.reason;
+            },
             [&] { counters_.add("wire.malformed"); });
     });
 }
--- a/src/jasminelatch/standin/backend_server.cpp
+++ b/src/jasminelatch/standin/backend_server.cpp
@@ -39,7 +39,7 @@
 BackendServer::BackendServer(BackendSettings settings)
     : settings_{std::move(settings)}
     , startedAt_{clock_.now()}
-    , runs_{nlohmann::json::array()}
+    , runs_(nlohmann::json::array())
 {
 }
 
