--- a/src/jasminelatch/record/parse.cpp
+++ b/src/jasminelatch/record/parse.cpp
@@ -176,17 +176,6 @@
     return record.place.file + (record.place.pointer.empty() ? "" : ": ") + record.place.pointer;
 }
 
-auto checkDuplicates(const std::span<const Record> records, Findings &findings) -> void
-{
-    std::map<Id, const Record *> seen;
-    for (const auto &record : records) {
-        const auto [position, isNew] = seen.emplace(record.id, &record);
-        if (!isNew) {
-            report(record, "/name", "the same record stands in " + where(*position->second), findings);
-        }
-    }
-}
-
 auto checkAccounts(const std::span<const Record> records, Findings &findings) -> void
 {
     std::set<AccountName> accounts;
@@ -287,9 +276,20 @@
     return records;
 }
 
+auto checkUnique(const std::span<const Record> records, Findings &findings) -> void
+{
+    std::map<Id, const Record *> seen;
+    for (const auto &record : records) {
+        const auto [position, isNew] = seen.emplace(record.id, &record);
+        if (!isNew) {
+            internal::report(
+                record, "/name", "the same record stands in " + internal::where(*position->second), findings);
+        }
+    }
+}
+
 auto checkTogether(const std::span<const Record> records, Findings &findings) -> void
 {
-    internal::checkDuplicates(records, findings);
     internal::checkAccounts(records, findings);
     internal::checkRoutes(records, findings);
 }
--- a/src/jasminelatch/record/parse.hpp
+++ b/src/jasminelatch/record/parse.hpp
@@ -80,7 +80,14 @@
 [[nodiscard]] auto parseFile(std::string_view text, const std::string &file, Findings &findings) -> std::vector<Record>;
 
 /**
- * @brief Checks records against each other: duplicates, accounts of keys, routes of kinds.
+ * @brief Checks that no record stands twice.
+ * @param records Records as they were read.
+ * @param findings Receives everything that is wrong.
+ */
+auto checkUnique(std::span<const Record> records, Findings &findings) -> void;
+
+/**
+ * @brief Checks records against each other: accounts of keys, routes of kinds.
  * @param records All records that would be in force together.
  * @param findings Receives everything that is wrong.
  */
