--- a/src/jasminelatch/order/claim_holder.cpp
+++ b/src/jasminelatch/order/claim_holder.cpp
@@ -7,6 +7,12 @@
 
 namespace jasminelatch::order {
 
+namespace internal {
+
+constexpr Duration sweepInterval = std::chrono::seconds{1};
+
+} // namespace internal
+
 ClaimHolder::ClaimHolder(Settings settings,
                          NodeAddress self,
                          const std::uint64_t incarnation,
@@ -110,6 +116,7 @@
     claim.requestId = request.requestId;
     claim.entry = from;
     state.change(claim, ClaimState::Pending);
+    state.pending.insert(key);
     return {request.requestId, Decision::HolderUnavailable};
 }
 
@@ -159,20 +166,23 @@
 auto ClaimHolder::grantDurable(const Shard shard, State &state) -> void
 {
     const auto now = clock_->now();
-    for (auto &[key, claim] : state.claims) {
-        if (claim.state != ClaimState::Pending) {
-            continue;
+    std::erase_if(state.pending, [&](const std::string &key) {
+        const auto position = state.claims.find(key);
+        if (position == state.claims.end() || position->second.state != ClaimState::Pending) {
+            return true;
         }
+        auto &claim = position->second;
         const auto committed = claim.sequence <= state.committedThrough;
         const auto storeIsSilent = now >= claim.since + settings_.commitPatience;
         const auto replicated = settings_.grantFromReplica && storeIsSilent && state.isReplicated(claim.sequence);
         if ((!committed && !replicated) || !decides(shard, state)) {
-            continue;
+            return false;
         }
         counters_->add(committed ? "order.granted" : "order.granted_from_replica");
         claim.state = ClaimState::Granted;
         hooks_.send(claim.entry, grantFor(state, claim.requestId));
-    }
+        return true;
+    });
 }
 
 auto ClaimHolder::handle(const NodeAddress &from, const Result &result) -> void
@@ -249,7 +259,12 @@
 
 auto ClaimHolder::forget(State &state) const -> void
 {
-    const auto limit = clock_->now() - settings_.retention;
+    const auto now = clock_->now();
+    if (now < state.nextSweep) {
+        return;
+    }
+    state.nextSweep = now + internal::sweepInterval;
+    const auto limit = now - settings_.retention;
     std::erase_if(state.claims, [&](const auto &item) {
         const auto &claim = item.second;
         const auto expired = claim.since < limit;
--- a/src/jasminelatch/order/shard_state.hpp
+++ b/src/jasminelatch/order/shard_state.hpp
@@ -58,6 +58,8 @@
     bool active{}; /*!< Between `acquired` and `lost`. */
     bool loaded{}; /*!< The former holders' claims are known, or unknown keys are answered so. */
     std::map<std::string, Claim> claims;
+    std::set<std::string> pending; /*!< Keys of claims that may be pending. */
+    TimePoint nextSweep;
     std::map<std::string, TimePoint> finished; /*!< Owners that reported not run; a delayed ask is ignored. */
     std::uint64_t lastSequence{};
     std::uint64_t committedThrough{};
--- a/test/jasminelatch/lease/fleet.hpp
+++ b/test/jasminelatch/lease/fleet.hpp
@@ -77,6 +77,14 @@
         return world.anyMachine();
     }
 
+    /*! @brief Returns the successor that the store's record names. */
+    [[nodiscard]] auto recordedSuccessor() -> NodeAddress
+    {
+        const auto answer = world.memory().apply({.key = recordKey(right)}, world.storeTime());
+        const auto record = answer.entries.empty() ? std::nullopt : parseRecord(answer.entries[0].value);
+        return record ? record->successor : NodeAddress{};
+    }
+
     auto step(const Duration length) -> void
     {
         const auto tick = [this](const std::size_t index) {
