--- a/src/jasminelatch/admission/controller.cpp
+++ b/src/jasminelatch/admission/controller.cpp
@@ -191,18 +191,19 @@
 
 auto Controller::startNext() -> bool
 {
-    const auto item = queue_.pop();
-    if (!item) {
+    const auto *next = queue_.front();
+    if (next == nullptr) {
         return false;
     }
-    if (settings_.mode == Mode::Adaptive && isHopelessAfter(*item, Duration::zero())) {
-        ++overloadRefusals_;
-        const auto isLate = item->deadline <= clock_->now();
-        refuse(item->id, isLate ? RefusalReason::DeadlineExpired : RefusalReason::DeadlineTooShort);
+    if (settings_.mode == Mode::Adaptive && isHopelessAfter(*next, Duration::zero())) {
+        const auto late = *next;
+        queue_.remove(late.id);
+        refuseLate(late);
         return true;
     }
-    longestWait_ = std::max(longestWait_, clock_->now() - item->arrival);
-    start(*item);
+    const auto item = *queue_.pop();
+    longestWait_ = std::max(longestWait_, clock_->now() - item.arrival);
+    start(item);
     return true;
 }
 
@@ -217,12 +218,17 @@
 {
     const auto late = queue_.removeIf([&](const Item &item) { return isHopelessAfter(item, Duration::zero()); });
     for (const auto &item : late) {
-        ++overloadRefusals_;
-        const auto isLate = item.deadline <= clock_->now();
-        refuse(item.id, isLate ? RefusalReason::DeadlineExpired : RefusalReason::DeadlineTooShort);
+        refuseLate(item);
     }
 }
 
+auto Controller::refuseLate(const Item &item) -> void
+{
+    ++overloadRefusals_;
+    const auto isLate = item.deadline <= clock_->now();
+    refuse(item.id, isLate ? RefusalReason::DeadlineExpired : RefusalReason::DeadlineTooShort);
+}
+
 auto Controller::refuse(const RequestId &id, const RefusalReason reason) -> void
 {
     counters_->add("admission." + std::string{toString(reason)});
--- a/src/jasminelatch/admission/controller.hpp
+++ b/src/jasminelatch/admission/controller.hpp
@@ -133,6 +133,7 @@
     auto startNext() -> bool;
     auto start(const Item &item) -> void;
     auto expire() -> void;
+    auto refuseLate(const Item &item) -> void;
     auto refuse(const RequestId &id, RefusalReason reason) -> void;
     auto learn(const Completion &completion) -> void;
     auto adjustLevel() -> void;
--- a/src/jasminelatch/admission/fair_queue.cpp
+++ b/src/jasminelatch/admission/fair_queue.cpp
@@ -17,6 +17,12 @@
     ++lane.size;
 }
 
+auto FairQueue::front() const -> const Item *
+{
+    const auto lane = std::find_if(lanes_.begin(), lanes_.end(), [](const Lane &each) { return each.size > 0; });
+    return lane == lanes_.end() ? nullptr : &lane->accounts.at(lane->turns.front()).front();
+}
+
 auto FairQueue::pop() -> std::optional<Item>
 {
     const auto lane = std::find_if(lanes_.begin(), lanes_.end(), [](const Lane &each) { return each.size > 0; });
--- a/src/jasminelatch/admission/fair_queue.hpp
+++ b/src/jasminelatch/admission/fair_queue.hpp
@@ -41,6 +41,12 @@
      */
     auto push(Item item) -> void;
 
+    /**
+     * @brief Returns the request whose turn it is; taking it out by `remove` leaves the turn to its account.
+     * @return The request, valid until the next change; null when the queue is empty.
+     */
+    [[nodiscard]] auto front() const -> const Item *;
+
     /**
      * @brief Takes out the request whose turn it is.
      * @return The request, or nothing when the queue is empty.
--- a/test/jasminelatch/admission/backend_model.cpp
+++ b/test/jasminelatch/admission/backend_model.cpp
@@ -1,5 +1,7 @@
 #include "backend_model.hpp"
 
+#include <jasminelatch/admission/fair_share.hpp>
+
 #include <gtest/gtest.h>
 
 #include <string>
@@ -95,8 +97,34 @@
     return BackendModel{std::move(experiment)}.run();
 }
 
+/*! @brief Oracle: goodput of an account when importances come in order and accounts share by water-filling. */
+auto expectedGoodput(const std::size_t account, const double load) -> double
+{
+    auto left = 1.0;
+    auto expected = 0.0;
+    for (const auto importanceShare : importanceShares) {
+        std::vector<double> demands;
+        for (const auto accountShare : accountShares) {
+            demands.push_back(load * importanceShare * accountShare / 100);
+        }
+        expected += std::min(demands[account], fairShare(demands, left));
+        left = std::max(0.0, left - load * importanceShare / 10);
+    }
+    return expected;
+}
+
 } // namespace
 
+TEST(BackendModel, GivesEachAccountItsMaxMinShare)
+{
+    for (const std::uint64_t seed : {1U, 2U}) {
+        const auto measured = measure(Experiment{}, Mode::Adaptive, seed, 512);
+        for (std::size_t account = 0; account < accountShares.size(); ++account) {
+            EXPECT_NEAR(measured.byAccount.at(account) / expectedGoodput(account, 2.0), 1.0, 0.1) << account;
+        }
+    }
+}
+
 TEST(BackendModel, KeepsGoodputWhateverTheCapacityDoesAndBeatsFirstCome)
 {
     for (const auto &scenario : scenarios()) {
--- a/test/jasminelatch/admission/backend_model.hpp
+++ b/test/jasminelatch/admission/backend_model.hpp
@@ -40,11 +40,15 @@
     Duration measureFrom{std::chrono::seconds{2}}; /*!< Start of the measurement. */
 };
 
+/*! @brief Tenths of the demand that each importance and each account ask for. */
+inline constexpr std::array<double, importanceCount> importanceShares{1, 2, 3, 4};
+inline constexpr std::array<double, 4> accountShares{5, 3, 1, 1};
+
 /*! @brief What an experiment showed. */
 struct Measured {
     double goodput{}; /*!< Whole answers within the deadline over what the real slots could give. */
     std::array<double, importanceCount> served{}; /*!< The same over the demand, by importance. */
-    std::map<AccountName, double> byAccount; /*!< Whole answers within the deadline, by account. */
+    std::array<double, accountShares.size()> byAccount{}; /*!< Goodput of each account. */
 };
 
 /*! @brief Backend server with slots, a queue of its own and random service times, in steps of one millisecond. */
@@ -84,6 +88,9 @@
             }
         }
         measured_.goodput /= possible_;
+        for (auto &account : measured_.byAccount) {
+            account /= possible_;
+        }
         for (std::size_t rank = 0; rank < importanceCount; ++rank) {
             measured_.served.at(rank) /= demand_.at(rank);
         }
@@ -114,11 +121,15 @@
         }
     }
 
+    auto draw(const std::array<double, 4> &shares) -> int
+    {
+        return std::discrete_distribution<int>{shares.begin(), shares.end()}(random_);
+    }
+
     auto submitOne() -> void
     {
-        // Importance zero asks for a tenth of the demand; account 0 asks for half of all.
-        const auto importance = std::discrete_distribution<int>{1, 2, 3, 4}(random_);
-        const auto account = std::discrete_distribution<int>{5, 3, 1, 1}(random_);
+        const auto importance = draw(importanceShares);
+        const auto account = draw(accountShares);
         const auto work = std::uniform_real_distribution<double>{0.5, 1.5}(random_)*serviceMilliseconds;
         Request request;
         request.item.id = RequestId{std::to_string(++number_)};
@@ -176,7 +187,7 @@
         if (result == Result::Ok && clock_.now() <= request.item.deadline && request.counted) {
             measured_.goodput += 1.0;
             measured_.served.at(request.item.importance) += 1.0;
-            measured_.byAccount[request.item.account] += 1.0;
+            measured_.byAccount.at(std::stoul(request.item.account.text())) += 1.0;
         }
         controller_->finish(id, {clock_.now() - request.started, result});
     }
