--- a/src/jasminelatch/admission/concurrency_limit.cpp
+++ b/src/jasminelatch/admission/concurrency_limit.cpp
@@ -143,6 +143,7 @@
     if (latencyBeforeCut_ && latency > *latencyBeforeCut_ * (1.0 + cut) / 2.0) {
         baseline_ = latency;
         latencyBeforeCut_.reset();
+        set(ceiling_);
         return;
     }
     latencyBeforeCut_ = latency;
--- a/src/jasminelatch/admission/controller.cpp
+++ b/src/jasminelatch/admission/controller.cpp
@@ -12,7 +12,7 @@
 /*! @brief Completions that the estimate of the service time rests on. */
 constexpr int serviceTimeMemory = 10;
 /*! @brief Mean deviations of the service time that a request from the queue must have to spare. */
-constexpr int deviationMargin = 2;
+constexpr int deviationMargin = 3;
 /*! @brief Smallest and largest share of the arrivals that one lowering of the level cuts. */
 constexpr double weakestLevelCut = 0.05;
 constexpr double strongestLevelCut = 0.3;
