Answers stand for heartbeats, and queries are split

An answer to a request sent over the present connection shows that both directions worked after it was sent, so a connection with steady traffic needs hardly any heartbeats. Queries carry at most 500 requests.

--- a/src/jasminelatch/connection/answer_cache.hpp
+++ b/src/jasminelatch/connection/answer_cache.hpp
@@ -56,7 +56,7 @@
      * @param id The request.
      * @param target Incarnation that it was sent to, as `Monitor::sent` returned it; zero when that was not known.
      * @return False when it must not run: it was taken on before, was declared not run, or was meant for another
-     * incarnation. Its outcome is then unknown here.
+     * incarnation. Such a request is dropped without an answer.
      */
     [[nodiscard]] auto begin(const RequestId &id, Incarnation target = {}) -> bool;
 
--- a/src/jasminelatch/connection/monitor.cpp
+++ b/src/jasminelatch/connection/monitor.cpp
@@ -7,6 +7,13 @@
 
 namespace jasminelatch::connection {
 
+namespace {
+
+/*! @brief Most requests in one query. */
+constexpr std::size_t longestQuery = 500;
+
+} // namespace
+
 Monitor::Monitor(Settings settings, const Clock &clock, Counters &counters, AnswerCache &cache, Hooks hooks)
     : settings_{settings}
     , clock_{&clock}
@@ -57,10 +64,15 @@
 auto Monitor::answered(const NodeAddress &peer, const RequestId &id) -> bool
 {
     const auto known = peers_.find(peer);
-    if (known == peers_.end() || known->second.pending.erase(id) == 0) {
+    const auto isKnown = known != peers_.end() && known->second.pending.contains(id);
+    if (!isKnown) {
         counters_->add("connection.answer_unexpected");
         return false;
     }
+    const auto request = known->second.pending.extract(id).mapped();
+    if (!request.inDoubt) {
+        onProof(known->second, request.sentAt);
+    }
     return true;
 }
 
@@ -156,6 +168,14 @@
     }
 }
 
+auto Monitor::onProof(Peer &peer, const TimePoint sentAt) -> void
+{
+    while (!peer.unanswered.empty() && peer.unanswered.front().sentAt <= sentAt) {
+        peer.unanswered.pop_front();
+    }
+    peer.heartbeatAt = std::max(peer.heartbeatAt, sentAt);
+}
+
 auto Monitor::onReport(const NodeAddress &from, const AnswerReport &report) -> void
 {
     const auto known = peers_.find(from);
@@ -286,18 +306,21 @@
 
 auto Monitor::query(const NodeAddress &address, Peer &peer) -> void
 {
-    AnswerQuery asked;
+    std::vector<AnswerQuery> queries;
     for (const auto &[id, pending] : peer.pending) {
-        if (pending.inDoubt) {
-            asked.missing.push_back({id, pending.incarnation});
+        if (!pending.inDoubt) {
+            continue;
         }
+        if (queries.empty() || queries.back().missing.size() >= longestQuery) {
+            queries.emplace_back();
+        }
+        queries.back().missing.push_back({id, pending.incarnation});
     }
-    if (asked.missing.empty()) {
-        return;
+    for (auto &each : queries) {
+        peer.queryAt = clock_->now();
+        counters_->add("connection.query");
+        hooks_.send(address, std::move(each));
     }
-    peer.queryAt = clock_->now();
-    counters_->add("connection.query");
-    hooks_.send(address, std::move(asked));
 }
 
 auto Monitor::settle(Peer &peer, const RequestId &id, const Outcome outcome) -> void
--- a/src/jasminelatch/connection/monitor.hpp
+++ b/src/jasminelatch/connection/monitor.hpp
@@ -36,8 +36,8 @@
 /**
  * @brief Watches the connections to all peers and settles what became of requests sent over silent ones.
  *
- * Only the answer to an own heartbeat shows that both directions work. Each request in doubt gets exactly one of an
- * answer, noted by `answered`, and `Hooks::outcome`.
+ * Only an answer to an own heartbeat or request shows that both directions work. Each request in doubt gets exactly one
+ * of an answer, noted by `answered`, and `Hooks::outcome`.
  */
 class Monitor
 {
@@ -155,6 +155,7 @@
 
     auto peerFor(const NodeAddress &address) -> Peer &;
     auto onPong(const NodeAddress &from, const Pong &pong) -> void;
+    auto onProof(Peer &peer, TimePoint sentAt) -> void;
     auto onReport(const NodeAddress &from, const AnswerReport &report) -> void;
     auto onRestart(Peer &peer) -> void;
     auto onStatus(Peer &peer, const AnswerStatus &status) -> void;
