--- a/src/jasminelatch/control/operator.cpp
+++ b/src/jasminelatch/control/operator.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <glog/logging.h>
 
 #include <set>
 #include <utility>
@@ -178,7 +179,9 @@
     }
     const auto before = json.dump();
     json["released"] = true;
-    BOOST_LEAF_CHECK(repository_.swap(entry, json.dump()));
+    if (auto swapped = repository_.swap(entry, json.dump()); !swapped) {
+        return swapped.error();
+    }
     return Report{"released " + entry.key + ", which was " + before + "\n", {{"key", entry.key}, {"lease", json}}, {}};
 }
 
@@ -200,7 +203,8 @@
         leaf::try_handle_all(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(view, repository_.read());
-                BOOST_LEAF_CHECK(repository_.compact(view));
+                BOOST_LEAF_AUTO(isWritten, repository_.compact(view));
+                LOG_IF(INFO, isWritten) << "control: wrote a snapshot of revision " << view.revision() << '.';
                 return {};
             },
             [] {});
--- a/src/jasminelatch/control/repository.cpp
+++ b/src/jasminelatch/control/repository.cpp
@@ -174,8 +174,12 @@
         return false;
     }
     BOOST_LEAF_AUTO(base, writeSnapshot(view));
-    BOOST_LEAF_CHECK(swap(present, nlohmann::json(base).dump()));
-    BOOST_LEAF_CHECK(removeOld(base.revision));
+    if (auto swapped = swap(present, nlohmann::json(base).dump()); !swapped) {
+        return swapped.error();
+    }
+    if (auto removed = removeOld(base.revision); !removed) {
+        return removed.error();
+    }
     return true;
 }
 
--- a/src/programs/jasminelatchctl/main.cpp
+++ b/src/programs/jasminelatchctl/main.cpp
@@ -95,7 +95,9 @@
 {
     BOOST_LEAF_AUTO(records, readRecords(options));
     // Without the store: a directory must be whole in itself but for the accounts of keys.
-    BOOST_LEAF_CHECK(planRecords(configuration::View{}, records, Prune::No));
+    if (auto planned = planRecords(configuration::View{}, records, Prune::No); !planned) {
+        return planned.error();
+    }
     return Report{std::to_string(records.size()) + " records, no findings\n", {{"records", records.size()}}, {}};
 }
 
--- a/test/jasminelatch/configuration/controller.cpp
+++ b/test/jasminelatch/configuration/controller.cpp
@@ -80,7 +80,8 @@
     {
         return boost::leaf::try_handle_all(
             [&]() -> control::Result<control::ExitCode> {
-                BOOST_LEAF_CHECK(control::Repository{fleet_->operatorCall()}.write(change));
+                BOOST_LEAF_AUTO(revision, control::Repository{fleet_->operatorCall()}.write(change));
+                EXPECT_EQ(revision, change.revision);
                 return control::ExitCode::Ok;
             },
             [](const control::Failure &failure) { return failure.code; },
--- a/test/jasminelatch/control/operator.cpp
+++ b/test/jasminelatch/control/operator.cpp
@@ -247,8 +247,8 @@
     EXPECT_EQ(repository.read()->account(AccountName{"a"})->rate, 650);
     const configuration::ChangeSet stale{.revision = 10, .writeId = "stale", .author = "zoe"};
     const auto ended = internal::run([&]() -> Result<Report> {
-        BOOST_LEAF_CHECK(repository.write(stale));
-        return Report{};
+        BOOST_LEAF_AUTO(revision, repository.write(stale));
+        return Report{std::to_string(revision), {}, {}};
     });
     EXPECT_EQ(ended.code, ExitCode::Conflict);
     EXPECT_EQ(repository.read()->revision(), 650U);
@@ -270,8 +270,8 @@
 {
     const std::vector<SourceFile> files{{"one.json", "{"}, {"two.json", internal::account("a", 0)}};
     const auto ended = internal::run([&]() -> Result<Report> {
-        BOOST_LEAF_CHECK(parseFiles(files));
-        return Report{};
+        BOOST_LEAF_AUTO(all, parseFiles(files));
+        return Report{std::to_string(all.size()), {}, {}};
     });
     ASSERT_EQ(ended.failure.findings.size(), 2U);
     EXPECT_EQ(ended.failure.findings[0].file, "one.json");
