--- a/test/jasminelatch/order/claim_holder.cpp
+++ b/test/jasminelatch/order/claim_holder.cpp
@@ -218,6 +218,36 @@
     EXPECT_EQ(fleet.ran.at("key").size(), 1U);
 }
 
+TEST(ClaimHolder, NeedsBothReplicasWhileTheirChangeIsUnknown)
+{
+    test::Faults faults;
+    faults.storeDelay = 200ms;
+    OrderFleet fleet{1, 3, faults, {}, {}};
+    fleet.run(10s);
+    const auto holder = fleet.holder().value();
+    const auto former = fleet.successorOf(holder);
+    const auto next = 3 - holder - former;
+    fleet.world.cut(holder, former, 10min);
+    for (int step = 0; step < 3000 && fleet.recordedReplica() != OrderFleet::address(next); ++step) {
+        fleet.step();
+    }
+    ASSERT_EQ(fleet.recordedReplica(), OrderFleet::address(next));
+    fleet.world.loseAnswers(holder, 1s);
+    fleet.world.takeStoreDown(20s);
+    fleet.world.cut(holder, former, 0s);
+    fleet.world.cut(holder, next, 10min);
+    const auto first = fleet.submit(former, "key", "body");
+    fleet.run(4s);
+    EXPECT_EQ(internal::refusalOf(fleet, first).outcome, Outcome::NotRun);
+    EXPECT_EQ(internal::refusalOf(fleet, first).reason, RefusalReason::OrderHolderUnavailable);
+    fleet.stop(holder);
+    fleet.run(40s);
+    ASSERT_TRUE(fleet.holder());
+    fleet.submit(former, "key", "body");
+    fleet.run(3s);
+    EXPECT_EQ(fleet.ran["key"].size(), 1U);
+}
+
 TEST(ClaimHolder, RestartedHolderFetchesTheClaimsFromItsReplica)
 {
     OrderFleet fleet{1, 3, {}, {}, {}};
--- a/test/jasminelatch/order/order_fleet.hpp
+++ b/test/jasminelatch/order/order_fleet.hpp
@@ -83,6 +83,14 @@
         return other ? *other : world.anyMachine();
     }
 
+    /*! @brief Returns the node that the shard's value in the store names as replica. */
+    [[nodiscard]] auto recordedReplica() -> NodeAddress
+    {
+        const auto answer = world.memory().apply({.key = right.text()}, world.storeTime());
+        const auto value = answer.entries.empty() ? std::nullopt : parseShardValue(answer.entries[0].value);
+        return value ? value->replica.node : NodeAddress{};
+    }
+
     /*! @brief Sends a request with a key to a node, which runs it when it is granted. */
     auto submit(const std::size_t index, const std::string &key, const std::string &body) -> RequestId
     {
