--- a/test/jasminelatch/order/claim_holder.cpp
+++ b/test/jasminelatch/order/claim_holder.cpp
@@ -227,10 +227,20 @@
     const auto holder = fleet.holder().value();
     const auto former = fleet.successorOf(holder);
     const auto next = 3 - holder - former;
-    fleet.world.cut(holder, former, 10min);
-    for (int step = 0; step < 3000 && fleet.recordedReplica() != OrderFleet::address(next); ++step) {
-        fleet.step();
-    }
+    const auto moveReplica = [&](const std::size_t from, const std::size_t to) {
+        fleet.world.cut(holder, from, 10min);
+        for (int step = 0; step < 3000 && fleet.recordedReplica() != OrderFleet::address(to); ++step) {
+            fleet.step();
+        }
+    };
+    // Back and forth, so that the holder knows both processes and changes from one to the other in a single write.
+    moveReplica(former, next);
+    fleet.world.cut(holder, former, 0s);
+    fleet.run(1s);
+    moveReplica(next, former);
+    fleet.world.cut(holder, next, 0s);
+    fleet.run(1s);
+    moveReplica(former, next);
     ASSERT_EQ(fleet.recordedReplica(), OrderFleet::address(next));
     fleet.world.loseAnswers(holder, 1s);
     fleet.world.takeStoreDown(20s);
