--- a/src/jasminelatch/admission/controller.cpp
+++ b/src/jasminelatch/admission/controller.cpp
@@ -239,11 +239,13 @@
 {
     if (completion.result == Result::ShedByBackend) {
         counters_->add("admission.shed_by_backend");
-        limit_.addShed(running_.size());
-        heldByShed_ = running_.empty();
+    }
+    if (settings_.mode != Mode::Adaptive || completion.result == Result::Failed) {
         return;
     }
-    if (completion.result == Result::Failed) {
+    if (completion.result == Result::ShedByBackend) {
+        limit_.addShed(running_.size());
+        heldByShed_ = running_.empty();
         return;
     }
     limit_.addLatency(completion.latency);
