--- a/test/jasminelatch/connection/answer_cache.cpp
+++ b/test/jasminelatch/connection/answer_cache.cpp
@@ -62,6 +62,8 @@
     EXPECT_EQ(bench.ask("1", incarnation + 1), AnswerState::Unknown);
     EXPECT_EQ(bench.ask("2", incarnation + 1), AnswerState::Unknown);
     EXPECT_EQ(bench.ask("3", 0), AnswerState::Unknown);
+    EXPECT_FALSE(bench.cache->begin(RequestId{"4"}, incarnation + 1));
+    EXPECT_TRUE(bench.cache->begin(RequestId{"4"}, incarnation));
 }
 
 TEST(AnswerCache, DeclaresNothingNotRunWhenItHadToForget)
