--- a/src/jasminelatch/membership/controller.cpp
+++ b/src/jasminelatch/membership/controller.cpp
@@ -220,7 +220,7 @@
 
 auto Controller::suggestedSuccessor(const RightName &right) const -> std::optional<NodeAddress>
 {
-    if (holder_ && holder_->cellName() == right) {
+    if (isHolder_ && holder_->cellName() == right) {
         return holder_->successor();
     }
     const auto found = std::ranges::find(duties(), right, &Duty::right);
