--- a/src/jasminelatch/quota/borrower_loans.cpp
+++ b/src/jasminelatch/quota/borrower_loans.cpp
@@ -12,6 +12,7 @@
 
 constexpr double smallestAheadPart = 0.25; // of a share's burst, for asks that are not urgent
 constexpr Duration refusalMemory = std::chrono::milliseconds{250};
+constexpr double largestStockPart = 0.5; // of the burst, over all nodes together
 constexpr double lowStockPart = 0.25; // of the stock target, below which the next plan is brought forward
 constexpr int renewalDivisor = 2; // loans are renewed in the last half of their lifetime
 
@@ -22,7 +23,7 @@
     const auto &account = state.account;
     const auto demand = std::min(state.demand.perSecond(), account.rate);
     const auto expected = demand * Seconds{settings_.loanLifetime}.count() / 2.0;
-    const auto fairPart = demand * account.burst / (2.0 * account.rate);
+    const auto fairPart = demand * largestStockPart * account.burst / account.rate;
     return std::min(expected + std::sqrt(expected), fairPart);
 }
 
--- a/src/jasminelatch/quota/share_holder.hpp
+++ b/src/jasminelatch/quota/share_holder.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <span>
+#include <tuple>
 #include <unordered_map>
 
 namespace jasminelatch::quota {
@@ -80,7 +81,11 @@
         std::uint64_t ask{};
         AccountName account;
 
-        auto operator<=>(const LoanId &) const = default;
+        friend auto operator<(const LoanId &left, const LoanId &right) -> bool
+        {
+            return std::tie(left.borrower, left.incarnation, left.ask, left.account)
+                 < std::tie(right.borrower, right.incarnation, right.ask, right.account);
+        }
     };
 
     struct Loan {
--- a/src/jasminelatch/quota/split.hpp
+++ b/src/jasminelatch/quota/split.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace jasminelatch::quota {
@@ -16,7 +17,12 @@
     std::uint32_t group{}; /*!< Group, below `record::Fleet::quotaGroups`. */
     std::uint32_t index{}; /*!< Share within the group, below `record::Fleet::quotaShares`. */
 
-    auto operator<=>(const Share &) const = default;
+    auto operator==(const Share &) const -> bool = default;
+
+    friend auto operator<(const Share &left, const Share &right) -> bool
+    {
+        return std::tie(left.group, left.index) < std::tie(right.group, right.index);
+    }
 };
 
 /*! @brief How an account's rate and burst are split into shares. */
--- a/src/jasminelatch/retry/message.hpp
+++ b/src/jasminelatch/retry/message.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string_view>
+#include <tuple>
 #include <variant>
 
 namespace jasminelatch::retry {
@@ -16,7 +17,10 @@
     std::uint64_t incarnation{}; /*!< Random number of the asking process. */
     std::uint64_t number{}; /*!< Number of the ask within the process. */
 
-    auto operator<=>(const AskId &) const = default;
+    friend auto operator<(const AskId &left, const AskId &right) -> bool
+    {
+        return std::tie(left.incarnation, left.number) < std::tie(right.incarnation, right.number);
+    }
 };
 
 /*! @brief A dispatching node asks the ledger for one retry. */
--- a/test/jasminelatch/quota/borrower.cpp
+++ b/test/jasminelatch/quota/borrower.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr auto stepLength = 1ms;
+constexpr auto coarseStep = 5ms;
+constexpr auto fillingTime = 6s;
 constexpr std::size_t nodeCount = 20;
 constexpr std::size_t entry = nodeCount - 1;
 constexpr double load = 0.9; // of the account's rate
@@ -57,6 +59,14 @@
     quota::internal::Bucket bucket_;
 };
 
+/*! @brief Lets the buckets fill without any request. */
+auto fillUp(Fleet &fleet) -> void
+{
+    for (auto elapsed = Duration::zero(); elapsed < fillingTime; elapsed += coarseStep) {
+        fleet.step(coarseStep);
+    }
+}
+
 /*! @brief Same arrivals, all at one node, to escrow, to the static split and to the ideal bucket. */
 class SkewedRun
 {
@@ -69,6 +79,8 @@
         , arrivals_{seed}
     {
         escrow_.takeOverAll({0, 1, 2, 3, 4, 5, 6, 7});
+        fillUp(escrow_);
+        fillUp(fixed_);
     }
 
     auto run(const Duration length) -> void
@@ -227,6 +239,40 @@
     EXPECT_EQ(fleet.counters(0).value("quota.no_holder"), 1U);
 }
 
+TEST(Borrower, SpendsFewMessagesWhenManyNodesShareAnAccount)
+{
+    constexpr std::size_t nodes = 50;
+    constexpr auto steps = 4'000;
+    constexpr double mostAsks = 4.0; // per second and node
+    for (const auto burst : {500.0, 1000.0}) {
+        const record::Account account{AccountName{"club"}, 500.0, burst};
+        Fleet fleet{{.nodes = nodes, .seed = 1}, {}, {}, account};
+        fleet.takeOverAll({0, 1, 2, 3, 4, 5, 6, 7});
+        fillUp(fleet);
+        const auto perStep = load * account.rate / nodes * std::chrono::duration<double>{coarseStep}.count();
+        for (auto step = 0; step < steps; ++step) {
+            for (std::size_t node = 0; node < nodes; ++node) {
+                if (fleet.chance(perStep)) {
+                    fleet.acquire(node);
+                }
+            }
+            fleet.step(coarseStep);
+        }
+        std::uint64_t asks = 0;
+        std::uint64_t waited = 0;
+        for (std::size_t node = 0; node < nodes; ++node) {
+            asks += fleet.counters(node).value("quota.ask_sent");
+            waited += fleet.counters(node).value("quota.waited");
+        }
+        const auto perNode = double(asks) / (steps * std::chrono::duration<double>{coarseStep}.count()) / nodes;
+        std::printf("9/s at each of 50 nodes, 500/s, burst %.0f: %.2f loan asks/s a node, %.1f %% waited\n",
+                    burst,
+                    perNode,
+                    percent * double(waited) / double(fleet.asked()));
+        EXPECT_LT(perNode, mostAsks);
+    }
+}
+
 TEST(Borrower, RefusesAnAccountFarOverItsRateWithFewMessages)
 {
     const record::Account account{AccountName{"club"}, 100.0, 100.0};
--- a/test/jasminelatch/quota/fleet.cpp
+++ b/test/jasminelatch/quota/fleet.cpp
@@ -15,6 +15,8 @@
 constexpr auto tickLength = 5ms;
 constexpr auto stepsOfSchedule = 6000;
 constexpr auto requestsAtOnce = 4;
+constexpr std::size_t hoardingNodes = 3;
+constexpr auto hoardingChance = 0.05;
 constexpr std::size_t shortestRound = 100; // steps
 constexpr std::size_t longestQuiet = 600; // steps
 constexpr auto trickleChance = 0.005;
@@ -104,8 +106,59 @@
     return fleet.log().largestBurst(account.rate);
 }
 
+/*! @brief Lets every node ask as fast as it can, or the first one at a trickle, for some steps. */
+auto ask(Fleet &fleet, const std::size_t steps, const bool surge) -> void
+{
+    for (std::size_t step = 0; step < steps; ++step) {
+        for (std::size_t node = 0; surge && node < hoardingNodes; ++node) {
+            fleet.acquire(node);
+        }
+        if (!surge && fleet.chance(hoardingChance)) {
+            fleet.acquire(0);
+        }
+        fleet.step(tickLength);
+    }
+}
+
+/*! @brief One node borrows ahead, the holder changes, then all spend at once; returns the largest burst. */
+auto largestBurstOfHoard(const std::uint64_t seed, const quota::Settings &settings, const record::Account &account)
+    -> double
+{
+    const FleetOptions options{.nodes = hoardingNodes,
+                               .seed = seed,
+                               .clockSpread = settings.clockDrift,
+                               .fast = 0.5,
+                               .slow = seed % 2 == 0 ? 0.5 : 0.0};
+    Fleet fleet{options, settings, {.quotaShares = 1}, account};
+    fleet.takeOverAll({1});
+    for (auto round = 0; round < 8; ++round) {
+        for (auto idle = 100 + fleet.below(600); idle > 0; --idle) {
+            fleet.step(tickLength);
+        }
+        ask(fleet, 100 + fleet.below(300), false);
+        if (fleet.chance(0.5)) {
+            fleet.takeOver(quota::rightName({0, 0}), fleet.below(hoardingNodes));
+            fleet.updateDirectory();
+        }
+        for (auto idle = fleet.below(300); idle > 0; --idle) {
+            fleet.step(tickLength);
+        }
+        ask(fleet, 40, true);
+    }
+    return fleet.log().largestBurst(account.rate);
+}
+
 } // namespace
 
+TEST(QuotaFleet, StaysWithinTheBoundWhenHoardedTokensOutliveAHolder)
+{
+    const quota::Settings settings{.clockDrift = 0.1};
+    const record::Account account{AccountName{"club"}, 10.0, 10.0};
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        EXPECT_LE(largestBurstOfHoard(seed, settings, account), account.burst + boundTolerance) << "seed " << seed;
+    }
+}
+
 TEST(QuotaFleet, RunsNoMoreThanBurstAndRateInAnyWindow)
 {
     const quota::Settings settings{.clockDrift = 0.1};
