--- a/src/jasminelatch/order/claim.hpp
+++ b/src/jasminelatch/order/claim.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace jasminelatch::order {
@@ -55,7 +56,12 @@
     NodeAddress node; /*!< Address; empty for none. */
     std::uint64_t incarnation{}; /*!< Number of the process. */
 
-    auto operator<=>(const ReplicaId &) const = default;
+    auto operator==(const ReplicaId &) const -> bool = default;
+
+    auto operator<(const ReplicaId &other) const -> bool
+    {
+        return std::tie(node, incarnation) < std::tie(other.node, other.incarnation);
+    }
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplicaId, node, incarnation)
