--- a/test/jasminelatch/order/claimant.cpp
+++ b/test/jasminelatch/order/claimant.cpp
@@ -10,7 +10,7 @@
 
 class ClaimantTest: public testing::Test
 {
-protected:
+public:
     ClaimantTest()
         : claimant{{}, 1, clock, counters, hooks()}
     {
