Orders on the request path

Cause: a kind that is not idempotent ran once per dispatch, but a client's repeat at another node was not known there. Done: the order filter claims the client's idempotency key with the shard's holder before dispatch and reports the end; attempts name the incarnation that they are meant for; linter exceptions for names that libraries prescribe.

--- a/src/jasminelatch/call/executor.cpp
+++ b/src/jasminelatch/call/executor.cpp
@@ -118,8 +118,9 @@
 
 auto Executor::receive(const NodeAddress &from, const Attempt &attempt) -> void
 {
-    if (!cache_->begin(attempt.id)) {
-        refuseDuplicate(from, attempt.id);
+    if (!cache_->begin(attempt.id, attempt.target)) {
+        // The first arrival is answered, or was declared not run to its sender.
+        counters_->add("call.duplicate_attempt");
         return;
     }
     if (!takesWork()) {
@@ -141,12 +142,6 @@
     hooks_.reply(from, internal::toRefusal(id, {reason, Outcome::NotRun, internal::leavingRetryAfter}));
 }
 
-auto Executor::refuseDuplicate(const NodeAddress &, const RequestId &) -> void
-{
-    // The first arrival is answered, or was declared not run to its sender.
-    counters_->add("call.duplicate_attempt");
-}
-
 auto Executor::start(const RequestId &id) -> void
 {
     auto &task = tasks_.at(id);
--- a/src/jasminelatch/call/executor.hpp
+++ b/src/jasminelatch/call/executor.hpp
@@ -153,7 +153,6 @@
     auto start(const RequestId &id) -> void;
     auto refuse(const RequestId &id, const Refusal &refusal) -> void;
     auto refuseNew(const NodeAddress &from, const RequestId &id, RefusalReason reason) -> void;
-    auto refuseDuplicate(const NodeAddress &from, const RequestId &id) -> void;
     auto finish(const RequestId &id, Answer answer) -> void;
     [[nodiscard]] auto toBackendCall(const Task &task) const -> BackendCall;
     [[nodiscard]] auto takesWork() const -> bool;
--- a/src/jasminelatch/call/message.cpp
+++ b/src/jasminelatch/call/message.cpp
@@ -38,6 +38,7 @@
 auto to_json(nlohmann::json &json, const Attempt &attempt) -> void
 {
     json = {{"id", attempt.id},
+            {"target", attempt.target},
             {"root", attempt.root},
             {"ledger", attempt.ledger},
             {"service", attempt.service},
@@ -55,6 +56,7 @@
 auto from_json(const nlohmann::json &json, Attempt &attempt) -> void
 {
     json.at("id").get_to(attempt.id);
+    json.at("target").get_to(attempt.target);
     json.at("root").get_to(attempt.root);
     json.at("ledger").get_to(attempt.ledger);
     json.at("service").get_to(attempt.service);
--- a/src/jasminelatch/call/message.hpp
+++ b/src/jasminelatch/call/message.hpp
@@ -22,6 +22,7 @@
 struct Attempt {
     static constexpr std::string_view type = "call.attempt";
     RequestId id; /*!< Id of this attempt, used for nothing else. */
+    std::uint64_t target{}; /*!< Incarnation of the node that it is meant for; zero when unknown. */
     RequestId root; /*!< Request of the client. */
     NodeAddress ledger; /*!< Node that keeps the retries of the root. */
     ServiceName service; /*!< Service that is asked. */
--- a/src/jasminelatch/core/identifier.hpp
+++ b/src/jasminelatch/core/identifier.hpp
@@ -42,7 +42,7 @@
      */
     [[nodiscard]] auto empty() const noexcept -> bool { return text_.empty(); }
 
-    auto operator<=>(const Identifier &) const = default;
+    auto operator<=>(const Identifier &) const = default; // NOLINT(modernize-use-nullptr)
 
     friend auto operator<<(std::ostream &out, const Identifier &identifier) -> std::ostream &
     {
--- a/src/jasminelatch/node/controllers.cpp
+++ b/src/jasminelatch/node/controllers.cpp
@@ -2,6 +2,10 @@
 
 #include <jasminelatch/quota/split.hpp>
 
+#include <glog/logging.h>
+
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace jasminelatch::node {
@@ -16,6 +20,20 @@
     return quota;
 }
 
+/*! @brief Returns the shard that a right of the form `order/<shard>` stands for. */
+auto shardOf(const RightName &right) -> std::optional<order::Shard>
+{
+    constexpr std::string_view prefix = "order/";
+    const std::string_view text{right.text()};
+    if (!text.starts_with(prefix)) {
+        return std::nullopt;
+    }
+    order::Shard shard{};
+    const auto end = text.data() + text.size();
+    const auto result = std::from_chars(text.data() + prefix.size(), end, shard);
+    return result.ptr == end ? std::optional{shard} : std::nullopt;
+}
+
 auto endpoint(const Settings &settings) -> membership::Endpoint
 {
     return {settings.address, settings.service, settings.domain, 0, 0, membership::EndpointState::Draining};
@@ -25,7 +43,11 @@
 
 Controllers::Controllers(
     const Settings &settings, const std::uint64_t incarnation, const Clock &clock, Counters &counters, Hooks hooks)
-    : hooks_{std::move(hooks)}
+    : self_{settings.address}
+    , incarnation_{incarnation}
+    , clock_{&clock}
+    , counters_{&counters}
+    , hooks_{std::move(hooks)}
     , lease_{{}, settings.address, incarnation, clock, counters, leaseHooks()}
     , membership_{{}, internal::endpoint(settings), incarnation, clock, counters, membershipHooks()}
     , configuration_{{}, settings.address, clock, counters, configurationHooks(), incarnation}
@@ -44,11 +66,11 @@
     hooks.chooseSuccessor = [this](const RightName &right) {
         return membership_.suggestedSuccessor(right);
     };
-    hooks.acquired = [this](const RightName &right, lease::Acquisition) {
-        shareHolder_.onAcquired(right);
+    hooks.acquired = [this](const RightName &right, const lease::Acquisition &acquisition) {
+        onAcquired(right, acquisition);
     };
     hooks.lost = [this](const RightName &right) {
-        shareHolder_.onLost(right);
+        onLost(right);
     };
     return hooks;
 }
@@ -125,6 +147,78 @@
     return hooks;
 }
 
+auto Controllers::claimHolderHooks() -> order::ClaimHolder::Hooks
+{
+    order::ClaimHolder::Hooks hooks;
+    hooks.store = hooks_.store;
+    hooks.send = [this](const NodeAddress &to, order::Message message) {
+        hooks_.send(to, std::move(message));
+    };
+    hooks.holds = [this](const order::Shard shard) {
+        return lease_.holds(order::rightOf(shard));
+    };
+    hooks.successor = [this](const order::Shard shard) {
+        return lease_.successor(order::rightOf(shard));
+    };
+    return hooks;
+}
+
+auto Controllers::claimantHooks() -> order::Claimant::Hooks
+{
+    order::Claimant::Hooks hooks;
+    hooks.send = [this](const NodeAddress &to, order::Message message) {
+        hooks_.send(to, std::move(message));
+    };
+    hooks.holderOf = [this](const order::Shard shard) {
+        return membership_.holderOf(order::rightOf(shard));
+    };
+    return hooks;
+}
+
+auto Controllers::onAcquired(const RightName &right, const lease::Acquisition &acquisition) -> void
+{
+    shareHolder_.onAcquired(right);
+    const auto shard = internal::shardOf(right);
+    if (!shard) {
+        return;
+    }
+    acquiredShards_[*shard] = acquisition;
+    if (claimHolder_) {
+        claimHolder_->acquired(*shard, acquisition);
+    }
+}
+
+auto Controllers::onLost(const RightName &right) -> void
+{
+    shareHolder_.onLost(right);
+    const auto shard = internal::shardOf(right);
+    if (!shard) {
+        return;
+    }
+    acquiredShards_.erase(*shard);
+    if (claimHolder_) {
+        claimHolder_->lost(*shard);
+    }
+}
+
+auto Controllers::startOrders(const record::Fleet &fleet) -> void
+{
+    if (claimHolder_) {
+        if (fleet.orderShards != orderShards_) {
+            LOG(ERROR) << "node: order_shards changed; this node keeps " << orderShards_ << " until it restarts";
+        }
+        return;
+    }
+    orderShards_ = fleet.orderShards;
+    order::Settings settings;
+    settings.retention = fleet.orderRetention;
+    claimHolder_.emplace(settings, self_, incarnation_, *clock_, *counters_, claimHolderHooks());
+    claimant_.emplace(settings, orderShards_, *clock_, *counters_, claimantHooks());
+    for (const auto &[shard, acquisition] : acquiredShards_) {
+        claimHolder_->acquired(shard, acquisition);
+    }
+}
+
 auto Controllers::wantedRights() const -> std::vector<RightName>
 {
     const auto &fleet = configuration_.view()->fleet();
@@ -134,6 +228,9 @@
             rights.push_back(quota::rightName({group, index}));
         }
     }
+    for (order::Shard shard = 0; shard < fleet.orderShards; ++shard) {
+        rights.push_back(order::rightOf(shard));
+    }
     return rights;
 }
 
@@ -145,6 +242,7 @@
     }
     shareHolder_.setRecords(view.fleet(), accounts);
     borrower_.setRecords(view.fleet(), accounts);
+    startOrders(view.fleet());
     for (const auto *kind : view.kinds()) {
         membership_.subscribe(kind->service);
     }
@@ -163,6 +261,10 @@
     configuration_.tick();
     shareHolder_.tick();
     borrower_.tick();
+    if (claimHolder_) {
+        claimHolder_->tick();
+        claimant_->tick();
+    }
     if (!leaving_) {
         followDuties();
     }
@@ -202,6 +304,14 @@
     lease_.receive(from, message);
 }
 
+auto Controllers::receive(const NodeAddress &from, const order::Message &message) -> void
+{
+    if (claimHolder_) {
+        claimHolder_->receive(from, message);
+        claimant_->receive(from, message);
+    }
+}
+
 auto Controllers::receive(const NodeAddress &from, const quota::Message &message) -> void
 {
     shareHolder_.receive(from, message);
--- a/src/jasminelatch/node/controllers.hpp
+++ b/src/jasminelatch/node/controllers.hpp
@@ -8,19 +8,23 @@
 #include <jasminelatch/core/counters.hpp>
 #include <jasminelatch/lease/lease_controller.hpp>
 #include <jasminelatch/membership/controller.hpp>
+#include <jasminelatch/order/claim_holder.hpp>
+#include <jasminelatch/order/claimant.hpp>
 #include <jasminelatch/quota/borrower.hpp>
 #include <jasminelatch/quota/share_holder.hpp>
 #include <jasminelatch/store/request.hpp>
 #include <jasminelatch/wire/message.hpp>
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
 namespace jasminelatch::node {
 
 /**
- * @brief Controllers of the state that nodes share: configuration, membership, leases and quota.
+ * @brief Controllers of the state that nodes share: configuration, membership, leases, quota and orders.
  */
 class Controllers
 {
@@ -59,6 +63,8 @@
     auto receive(const NodeAddress &from, const membership::Message &message) -> void;
     /*! @brief Takes a message of leases. */
     auto receive(const NodeAddress &from, const lease::Message &message) -> void;
+    /*! @brief Takes a message of orders. */
+    auto receive(const NodeAddress &from, const order::Message &message) -> void;
     /*! @brief Takes a message of quota. */
     auto receive(const NodeAddress &from, const quota::Message &message) -> void;
 
@@ -79,6 +85,8 @@
     [[nodiscard]] auto membership() noexcept -> membership::Controller & { return membership_; }
     /*! @brief Returns the leases. */
     [[nodiscard]] auto lease() noexcept -> lease::LeaseController & { return lease_; }
+    /*! @brief Returns the claimant of orders; null before the first configuration. */
+    [[nodiscard]] auto claimant() noexcept -> order::Claimant * { return claimant_ ? &*claimant_ : nullptr; }
     /*! @brief Returns the borrower of tokens. */
     [[nodiscard]] auto borrower() noexcept -> quota::Borrower & { return borrower_; }
 
@@ -88,16 +96,29 @@
     [[nodiscard]] auto configurationHooks() -> configuration::Controller::Hooks;
     [[nodiscard]] auto borrowerHooks() -> quota::Borrower::Hooks;
     [[nodiscard]] auto shareHolderHooks() -> quota::ShareHolder::Hooks;
+    [[nodiscard]] auto claimHolderHooks() -> order::ClaimHolder::Hooks;
+    [[nodiscard]] auto claimantHooks() -> order::Claimant::Hooks;
     [[nodiscard]] auto wantedRights() const -> std::vector<RightName>;
+    auto onAcquired(const RightName &right, const lease::Acquisition &acquisition) -> void;
+    auto onLost(const RightName &right) -> void;
+    auto startOrders(const record::Fleet &fleet) -> void;
     auto onView(const configuration::View &view) -> void;
     auto followDuties() -> void;
 
+    NodeAddress self_;
+    std::uint64_t incarnation_;
+    const Clock *clock_;
+    Counters *counters_;
     Hooks hooks_;
     lease::LeaseController lease_;
     membership::Controller membership_;
     configuration::Controller configuration_;
     quota::ShareHolder shareHolder_;
     quota::Borrower borrower_;
+    std::optional<order::ClaimHolder> claimHolder_; // From the first configuration on.
+    std::optional<order::Claimant> claimant_;
+    std::uint32_t orderShards_{};
+    std::map<order::Shard, lease::Acquisition> acquiredShards_;
     std::set<RightName> contended_;
     bool leaving_{};
 };
--- a/src/jasminelatch/node/request_path.cpp
+++ b/src/jasminelatch/node/request_path.cpp
@@ -14,6 +14,7 @@
 namespace internal {
 
 constexpr Duration leavingRetryAfter = std::chrono::seconds{1};
+constexpr std::size_t longestIdempotencyKey = 200;
 
 auto admissionSettings(const Settings &settings) -> admission::Settings
 {
@@ -104,7 +105,8 @@
             filter::authenticationFilter(std::move(authentication)),
             filter::deadlineFilter(*clock_),
             rateFilter(),
-            gateFilter()};
+            gateFilter(),
+            orderFilter()};
 }
 
 auto RequestPath::leavingFilter() -> filter::Filter
@@ -139,6 +141,91 @@
             }};
 }
 
+auto RequestPath::orderFilter() -> filter::Filter
+{
+    return {"order", [this](call::Exchange &exchange, const filter::Resume &resume) {
+                if (exchange.kind->idempotent) {
+                    return filter::pass();
+                }
+                const std::string key{net::header(exchange.request.headers, filter::idempotencyField)};
+                if (key.empty() && !exchange.parent.empty()) {
+                    return filter::pass();
+                }
+                if (key.empty() || key.size() > internal::longestIdempotencyKey) {
+                    return filter::refuse(RefusalReason::IdempotencyKeyMissing);
+                }
+                if (controllers_->claimant() == nullptr) {
+                    return filter::refuse(RefusalReason::OrderHolderUnavailable, internal::leavingRetryAfter);
+                }
+                claim(exchange, key, resume);
+                return filter::wait();
+            }};
+}
+
+auto RequestPath::claim(const call::Exchange &exchange, const std::string &key, const filter::Resume &resume) -> void
+{
+    const auto content =
+        exchange.request.method + " " + exchange.kind->service.text() + exchange.path + "\n" + exchange.request.body;
+    order::Ask ask{exchange.account, key, exchange.id, order::shortHash(content)};
+    controllers_->claimant()->claim(
+        std::move(ask),
+        [this, id = exchange.id, key, resume](const order::Verdict &verdict) { onClaimed(id, key, verdict, resume); });
+}
+
+auto RequestPath::onClaimed(const RequestId &id,
+                            const std::string &key,
+                            const order::Verdict &verdict,
+                            const filter::Resume &resume) -> void
+{
+    if (const auto *answer = std::get_if<order::Answer>(&verdict)) {
+        const net::HttpResponse response{answer->status, {{"Content-Type", answer->contentType}}, answer->body};
+        resume({filter::Verdict::Step::Answer, {}, response});
+        return;
+    }
+    if (const auto *refusal = std::get_if<Refusal>(&verdict)) {
+        resume({filter::Verdict::Step::Refuse, *refusal, {}});
+        return;
+    }
+    const auto position = exchanges_.find(id);
+    if (position == exchanges_.end()) {
+        controllers_->claimant()->report(id, order::ResultKind::NotRun);
+        return;
+    }
+    position->second.exchange.idempotencyKey = key;
+    const auto late = clock_->now() >= std::get<order::Grant>(verdict).dispatchBefore;
+    resume(late ? filter::refuse(RefusalReason::DeadlineExpired, internal::leavingRetryAfter) : filter::pass());
+}
+
+auto RequestPath::reportOrder(const call::Exchange &exchange, const call::JobResult &result) -> void
+{
+    if (exchange.idempotencyKey.empty()) {
+        return;
+    }
+    auto &claimant = *controllers_->claimant();
+    if (result.refusal) {
+        const auto notRun = result.refusal->outcome == Outcome::NotRun;
+        claimant.report(exchange.id, notRun ? order::ResultKind::NotRun : order::ResultKind::Unknown);
+        return;
+    }
+    const auto &response = result.response;
+    claimant.report(exchange.id,
+                    order::ResultKind::Answered,
+                    {static_cast<std::uint16_t>(response.status),
+                     std::string{net::header(response.headers, "Content-Type")},
+                     response.body});
+}
+
+auto RequestPath::onJobDone(const RequestId &id, call::JobResult result) -> void
+{
+    const auto position = exchanges_.find(id);
+    if (position == exchanges_.end()) {
+        return;
+    }
+    reportOrder(position->second.exchange, result);
+    position->second.exchange.idempotencyKey.clear();
+    result.refusal ? refuse(id, *result.refusal) : finish(id, std::move(result.response));
+}
+
 auto RequestPath::chainHooks() -> filter::Chain::Hooks
 {
     filter::Chain::Hooks hooks;
@@ -155,6 +242,7 @@
             finish(id, verdict.response);
             return;
         }
+        reportOrder(exchange, {verdict.refusal, {}});
         refuse(id, verdict.refusal);
     };
     return hooks;
@@ -187,6 +275,10 @@
         return;
     }
     const auto id = position->second;
+    if (!exchanges_.at(id).exchange.idempotencyKey.empty()) {
+        // The order goes on, so that its answer is there when the client comes back for it.
+        return;
+    }
     dispatcher_.cancel(id);
     refuse(id, {RefusalReason::Cancelled, Outcome::Unknown, {}});
 }
@@ -229,7 +321,7 @@
         cancelAttempt(to, attempt);
     };
     hooks.done = [this](const RequestId &id, call::JobResult result) {
-        result.refusal ? refuse(id, *result.refusal) : finish(id, std::move(result.response));
+        onJobDone(id, std::move(result));
     };
     hooks.pressure = [this](const ServiceName &service, const NodeAddress &node, const admission::Pressure &pressure) {
         gate_.report(service, node, pressure);
@@ -288,10 +380,11 @@
 
 auto RequestPath::sendAttempt(const NodeAddress &to, const call::Attempt &attempt) -> void
 {
+    auto addressed = attempt;
     if (to != self_) {
-        monitor_.sent(to, attempt.id);
+        addressed.target = monitor_.sent(to, attempt.id);
     }
-    hooks_.send(to, call::Message{attempt});
+    hooks_.send(to, call::Message{std::move(addressed)});
 }
 
 auto RequestPath::cancelAttempt(const NodeAddress &to, const RequestId &attempt) -> void
@@ -402,8 +495,10 @@
         }
     }
     for (const auto &id : nested) {
-        dispatcher_.cancel(id);
-        refuse(id, {RefusalReason::Cancelled, Outcome::Unknown, {}});
+        if (exchanges_.at(id).exchange.idempotencyKey.empty()) {
+            dispatcher_.cancel(id);
+            refuse(id, {RefusalReason::Cancelled, Outcome::Unknown, {}});
+        }
     }
 }
 
--- a/src/jasminelatch/node/request_path.hpp
+++ b/src/jasminelatch/node/request_path.hpp
@@ -138,6 +138,7 @@
     [[nodiscard]] auto leavingFilter() -> filter::Filter;
     [[nodiscard]] auto rateFilter() -> filter::Filter;
     [[nodiscard]] auto gateFilter() -> filter::Filter;
+    [[nodiscard]] auto orderFilter() -> filter::Filter;
     [[nodiscard]] auto chainHooks() -> filter::Chain::Hooks;
     [[nodiscard]] auto dispatcherHooks() -> call::Dispatcher::Hooks;
     [[nodiscard]] auto executorHooks() -> call::Executor::Hooks;
@@ -145,6 +146,12 @@
     [[nodiscard]] auto monitorHooks() -> connection::Monitor::Hooks;
     [[nodiscard]] auto newId() -> RequestId;
 
+    auto claim(const call::Exchange &exchange, const std::string &key, const filter::Resume &resume) -> void;
+    auto
+    onClaimed(const RequestId &id, const std::string &key, const order::Verdict &verdict, const filter::Resume &resume)
+        -> void;
+    auto reportOrder(const call::Exchange &exchange, const call::JobResult &result) -> void;
+    auto onJobDone(const RequestId &id, call::JobResult result) -> void;
     auto dispatch(call::Exchange &exchange) -> void;
     auto sendAttempt(const NodeAddress &to, const call::Attempt &attempt) -> void;
     auto cancelAttempt(const NodeAddress &to, const RequestId &attempt) -> void;
--- a/src/jasminelatch/wire/message.hpp
+++ b/src/jasminelatch/wire/message.hpp
@@ -6,6 +6,7 @@
 #include <jasminelatch/connection/message.hpp>
 #include <jasminelatch/lease/message.hpp>
 #include <jasminelatch/membership/message.hpp>
+#include <jasminelatch/order/message.hpp>
 #include <jasminelatch/quota/message.hpp>
 #include <jasminelatch/retry/message.hpp>
 
@@ -19,6 +20,7 @@
                              connection::Message,
                              lease::Message,
                              membership::Message,
+                             order::Message,
                              quota::Message,
                              retry::Message>;
 
