--- a/src/jasminelatch/metrics/latency_summary.cpp
+++ b/src/jasminelatch/metrics/latency_summary.cpp
@@ -30,7 +30,7 @@
 struct LatencySummary::Impl {
     internal::Accumulator accumulator{boost::accumulators::extended_p_square_probabilities = internal::probabilities};
 
-    [[nodiscard]] auto quantile(const std::size_t index) const -> Duration
+    [[nodiscard]] auto quantile(const std::ptrdiff_t index) const -> Duration
     {
         if (boost::accumulators::count(accumulator) == 0) {
             return {};
--- a/src/jasminelatch/node/controllers.cpp
+++ b/src/jasminelatch/node/controllers.cpp
@@ -1,5 +1,7 @@
 #include "controllers.hpp"
 
+#include <jasminelatch/membership/cell_record.hpp>
+#include <jasminelatch/membership/fleet.hpp>
 #include <jasminelatch/quota/split.hpp>
 
 #include <glog/logging.h>
@@ -113,16 +115,30 @@
     hooks.cellHolder = [this] {
         return membership_.cellHolder();
     };
-    hooks.otherHolders = [this] {
-        const auto peers = membership_.peers();
-        return std::vector<NodeAddress>{peers.begin(), peers.end()};
-    };
+    hooks.otherHolders = [this] { return otherHolders(); };
     hooks.changed = [this](const configuration::View &view) {
         onView(view);
     };
     return hooks;
 }
 
+auto Controllers::otherHolders() const -> std::vector<NodeAddress>
+{
+    std::vector<NodeAddress> holders;
+    if (const auto *fleet = membership_.fleet()) {
+        for (const auto &entry : fleet->directory().rights) {
+            if (entry.right.text().starts_with(membership::cellPrefix) && entry.holder != self_) {
+                holders.push_back(entry.holder);
+            }
+        }
+    }
+    if (holders.empty()) {
+        const auto peers = membership_.peers();
+        holders.assign(peers.begin(), peers.end());
+    }
+    return holders;
+}
+
 auto Controllers::borrowerHooks() -> quota::Borrower::Hooks
 {
     quota::Borrower::Hooks hooks;
--- a/src/jasminelatch/node/controllers.hpp
+++ b/src/jasminelatch/node/controllers.hpp
@@ -98,6 +98,7 @@
     [[nodiscard]] auto shareHolderHooks() -> quota::ShareHolder::Hooks;
     [[nodiscard]] auto claimHolderHooks() -> order::ClaimHolder::Hooks;
     [[nodiscard]] auto claimantHooks() -> order::Claimant::Hooks;
+    [[nodiscard]] auto otherHolders() const -> std::vector<NodeAddress>;
     [[nodiscard]] auto wantedRights() const -> std::vector<RightName>;
     auto onAcquired(const RightName &right, const lease::Acquisition &acquisition) -> void;
     auto onLost(const RightName &right) -> void;
--- a/src/jasminelatch/node/core.cpp
+++ b/src/jasminelatch/node/core.cpp
@@ -34,7 +34,6 @@
 
 Core::Core(const Settings &settings, const std::uint64_t incarnation, const Clock &clock, Hooks hooks)
     : self_{settings.address}
-    , clock_{&clock}
     , hooks_{std::move(hooks)}
     , controllers_{settings, incarnation, clock, counters_, controllerHooks()}
     , requestPath_{settings, incarnation, controllers_, clock, counters_, requestHooks()}
--- a/src/jasminelatch/node/core.hpp
+++ b/src/jasminelatch/node/core.hpp
@@ -102,7 +102,6 @@
     auto syncAnnouncement() -> void;
 
     NodeAddress self_;
-    const Clock *clock_;
     Hooks hooks_;
     Counters counters_;
     std::deque<Local> local_;
