--- a/src/jasminelatch/filter/authentication.cpp
+++ b/src/jasminelatch/filter/authentication.cpp
@@ -29,18 +29,19 @@
     return argument == request.query.end() ? std::string{} : argument->second;
 }
 
+/*! @brief Tells whether a letter stands for itself in a path or a query. */
 auto isUnreserved(const char letter) -> bool
 {
     return (letter >= '0' && letter <= '9') || (letter >= 'A' && letter <= 'Z') || (letter >= 'a' && letter <= 'z')
         || letter == '-' || letter == '.' || letter == '_' || letter == '~';
 }
 
-auto percentEncode(const std::string_view text) -> std::string
+auto percentEncode(const std::string_view text, const std::string_view allowed = {}) -> std::string
 {
     constexpr std::string_view digits{"0123456789ABCDEF"};
     std::string encoded;
     for (const auto letter : text) {
-        if (isUnreserved(letter)) {
+        if (isUnreserved(letter) || allowed.find(letter) != std::string_view::npos) {
             encoded += letter;
             continue;
         }
@@ -69,6 +70,8 @@
     std::erase_if(request.query, [&](const auto &argument) {
         return carriesKey(argument.first, key) || carriesKey(argument.second, key);
     });
+    constexpr std::string_view allowedInPath{"/:@!$&'()*+,;="};
+    exchange.path = percentEncode(exchange.path, allowedInPath);
     char separator = '?';
     for (const auto &[name, value] : request.query) {
         exchange.path += separator + percentEncode(name) + "=" + percentEncode(value);
--- a/src/jasminelatch/filter/basic.cpp
+++ b/src/jasminelatch/filter/basic.cpp
@@ -25,9 +25,15 @@
     return rest.empty() ? "/" : std::string{rest};
 }
 
+/*! @brief Tells whether a segment of the path leads back to the one above. */
+auto leadsBack(const std::string_view path) -> bool
+{
+    return path.find("/../") != std::string_view::npos || path.ends_with("/..");
+}
+
 auto isWellFormed(const std::string_view path) -> bool
 {
-    return path.size() > 1 && path.size() <= longestPath && path.front() == '/' && path[1] != '/';
+    return path.size() > 1 && path.size() <= longestPath && path.front() == '/' && path[1] != '/' && !leadsBack(path);
 }
 
 auto timeoutOf(const net::Headers &headers) -> std::optional<Duration>
--- a/src/jasminelatch/node/controllers.cpp
+++ b/src/jasminelatch/node/controllers.cpp
@@ -115,7 +115,9 @@
     hooks.cellHolder = [this] {
         return membership_.cellHolder();
     };
-    hooks.otherHolders = [this] { return otherHolders(); };
+    hooks.otherHolders = [this] {
+        return otherHolders();
+    };
     hooks.changed = [this](const configuration::View &view) {
         onView(view);
     };
--- a/src/programs/jasminelatch-node/main.cpp
+++ b/src/programs/jasminelatch-node/main.cpp
@@ -1,71 +1,25 @@
-#include <jasminelatch/core/finding.hpp>
-#include <jasminelatch/net/http_server.hpp>
 #include <jasminelatch/node/runtime.hpp>
 #include <jasminelatch/node/settings.hpp>
+#include <jasminelatch/program/program.hpp>
 
 #include <CLI/CLI.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <glog/logging.h>
 
-#include <atomic>
-#include <csignal>
-#include <fstream>
-#include <iostream>
-#include <optional>
-#include <sstream>
 #include <string>
 
 namespace {
 
 namespace node = jasminelatch::node;
-
-constexpr int exitOk = 0;
-constexpr int exitCutOff = 1;
-constexpr int exitBadSettings = 2;
-constexpr int exitCannotListen = 3;
-
-std::atomic<bool> stopRequested{false};
-
-auto requestStop(int) -> void
-{
-    stopRequested = true;
-}
-
-auto installSignalHandlers() -> void
-{
-    std::signal(SIGTERM, requestStop);
-    std::signal(SIGINT, requestStop);
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
-auto readSettings(const std::string &file) -> std::optional<node::Settings>
-{
-    std::ifstream stream{file};
-    if (!stream) {
-        std::cerr << file << ": can't be read\n";
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    jasminelatch::Findings findings;
-    auto settings = node::parseSettings(text.str(), file, findings);
-    std::cerr << jasminelatch::toText(findings);
-    return settings;
-}
+namespace program = jasminelatch::program;
 
 auto runNode(const node::Settings &settings) -> int
 {
+    const auto &stopRequested = program::installStopSignals();
     node::Runtime runtime{settings};
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<int> {
-            BOOST_LEAF_CHECK(runtime.open());
-            return runtime.run(stopRequested) ? exitOk : exitCutOff;
-        },
-        [](const jasminelatch::net::ListenError &error) {
-            std::cerr << "can't listen on " << error.address << "\n";
-            return exitCannotListen;
-        },
-        [] { return exitCannotListen; });
+    return program::runServer([&]() -> boost::leaf::result<program::ExitCode> {
+        BOOST_LEAF_CHECK(runtime.open());
+        return runtime.run(stopRequested) ? program::ExitCode::Ok : program::ExitCode::CutOff;
+    });
 }
 
 } // namespace
@@ -81,10 +35,9 @@
     CLI11_PARSE(app, argc, argv);
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    installSignalHandlers();
-    const auto settings = readSettings(file);
+    const auto settings = program::readSettings<node::Settings>(file, node::parseSettings);
     if (!settings) {
-        return exitBadSettings;
+        return static_cast<int>(program::ExitCode::BadSettings);
     }
-    return checkOnly ? exitOk : runNode(*settings);
+    return checkOnly ? static_cast<int>(program::ExitCode::Ok) : runNode(*settings);
 }
--- a/src/programs/jasminelatch-store/main.cpp
+++ b/src/programs/jasminelatch-store/main.cpp
@@ -1,45 +1,29 @@
-#include <jasminelatch/net/http_server.hpp>
+#include <jasminelatch/program/program.hpp>
 #include <jasminelatch/standin/store_server.hpp>
 
 #include <CLI/CLI.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
-#include <atomic>
 #include <chrono>
-#include <csignal>
-#include <iostream>
 #include <thread>
 
 namespace {
 
-constexpr int exitOk = 0;
-constexpr int exitCannotListen = 3;
-constexpr auto tickInterval = std::chrono::milliseconds{5};
-
-std::atomic<bool> stopRequested{false};
+namespace program = jasminelatch::program;
 
-auto requestStop(int) -> void
-{
-    stopRequested = true;
-}
+constexpr auto tickInterval = std::chrono::milliseconds{5};
 
 auto runStore(const std::uint16_t port) -> int
 {
+    const auto &stopRequested = program::installStopSignals();
     jasminelatch::standin::StoreServer server;
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<int> {
-            BOOST_LEAF_CHECK(server.open(port));
-            while (!stopRequested) {
-                server.tick();
-                std::this_thread::sleep_for(tickInterval);
-            }
-            return exitOk;
-        },
-        [](const jasminelatch::net::ListenError &error) {
-            std::cerr << "can't listen on " << error.address << "\n";
-            return exitCannotListen;
-        },
-        [] { return exitCannotListen; });
+    return program::runServer([&]() -> boost::leaf::result<program::ExitCode> {
+        BOOST_LEAF_CHECK(server.open(port));
+        while (!stopRequested) {
+            server.tick();
+            std::this_thread::sleep_for(tickInterval);
+        }
+        return program::ExitCode::Ok;
+    });
 }
 
 } // namespace
@@ -51,8 +35,5 @@
     std::uint16_t port{};
     app.add_option("--port", port, "TCP port on the loopback address")->required();
     CLI11_PARSE(app, argc, argv);
-    std::signal(SIGTERM, requestStop);
-    std::signal(SIGINT, requestStop);
-    std::signal(SIGPIPE, SIG_IGN);
     return runStore(port);
 }
