--- a/src/jasminelatch/call/executor.cpp
+++ b/src/jasminelatch/call/executor.cpp
@@ -105,6 +105,7 @@
     const auto &known = backend_;
     const auto changed = !known || known->slots != announcement.slots || known->connections != announcement.connections
                       || known->state != announcement.state;
+    backendUrl_ = announcement.url;
     backend_ = std::move(announcement);
     if (changed) {
         admission_.setCapacity(backend_->slots, backend_->connections, backend_->state);
@@ -162,7 +163,7 @@
                                 task.deadline};
     BackendCall call;
     call.id = attempt.id;
-    call.url = backend_->url + attempt.path;
+    call.url = backendUrl_ + attempt.path;
     call.method = attempt.method;
     call.headers = attempt.headers;
     call.timeout = task.deadline - clock_->now();
--- a/src/jasminelatch/call/executor.hpp
+++ b/src/jasminelatch/call/executor.hpp
@@ -165,6 +165,7 @@
     Hooks hooks_;
     admission::Controller admission_;
     std::optional<Announcement> backend_;
+    std::string backendUrl_; // Last known, also while the backend server is silent.
     TimePoint announcedAt_;
     bool leaving_{};
     std::unordered_map<RequestId, Task> tasks_;
--- a/src/jasminelatch/net/http_server.cpp
+++ b/src/jasminelatch/net/http_server.cpp
@@ -6,8 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -15,6 +18,9 @@
 
 namespace internal {
 
+constexpr auto longestStop = std::chrono::seconds{1};
+constexpr auto stopPollInterval = std::chrono::milliseconds{1};
+
 /*! @brief One request on its way through the server. */
 struct Exchange {
     RequestNumber number{};
@@ -101,6 +107,7 @@
         }
         stopListening();
         answerAllUnavailable();
+        waitUntilSent();
         MHD_stop_daemon(daemon_);
         if (listener_ != MHD_INVALID_SOCKET) {
             ::close(listener_);
@@ -140,6 +147,8 @@
         return waiting_.size();
     }
 
+    [[nodiscard]] auto openCount() const -> std::size_t { return open_; }
+
 private:
     static auto handle(void *self,
                        MHD_Connection *connection,
@@ -184,6 +193,7 @@
     auto open(MHD_Connection *connection, const char *url, const char *method) -> internal::SharedExchange
     {
         auto exchange = std::make_shared<internal::Exchange>();
+        ++open_;
         exchange->connection = connection;
         exchange->request.method = method;
         exchange->request.path = url;
@@ -244,10 +254,19 @@
     auto finish(internal::Exchange &exchange) -> void
     {
         const std::lock_guard lock{mutex_};
+        --open_;
         exchange.finished = true;
         waiting_.erase(exchange.number);
     }
 
+    auto waitUntilSent() const -> void
+    {
+        const auto until = std::chrono::steady_clock::now() + internal::longestStop;
+        while (open_ > 0 && std::chrono::steady_clock::now() < until) {
+            std::this_thread::sleep_for(internal::stopPollInterval);
+        }
+    }
+
     auto answerAllUnavailable() -> void
     {
         std::vector<internal::SharedExchange> left;
@@ -267,6 +286,7 @@
     mutable std::mutex mutex_;
     std::map<RequestNumber, internal::SharedExchange> waiting_;
     RequestNumber lastNumber_{};
+    std::atomic<std::size_t> open_{};
     MHD_Daemon *daemon_{};
     MHD_socket listener_{MHD_INVALID_SOCKET};
     bool quiesced_{};
@@ -298,6 +318,11 @@
     impl_->findGoneCallers();
 }
 
+auto HttpServer::openCount() const -> std::size_t
+{
+    return impl_->openCount();
+}
+
 auto HttpServer::waitingCount() const -> std::size_t
 {
     return impl_->waitingCount();
--- a/src/jasminelatch/net/http_server.hpp
+++ b/src/jasminelatch/net/http_server.hpp
@@ -76,6 +76,12 @@
      */
     [[nodiscard]] auto waitingCount() const -> std::size_t;
 
+    /**
+     * @brief Counts the requests whose response is not sent in full.
+     * @return Number of requests, those still arriving included.
+     */
+    [[nodiscard]] auto openCount() const -> std::size_t;
+
 private:
     class Impl;
 
--- a/src/jasminelatch/net/peer_transport.cpp
+++ b/src/jasminelatch/net/peer_transport.cpp
@@ -84,6 +84,7 @@
     PeerGreeting greeting;
     bool greeted{};
     bool proven{};
+    bool closed{};
 };
 
 } // namespace internal
@@ -334,6 +335,9 @@
     auto onIncoming(const internal::Handle &handle, const std::string &payload) -> void
     {
         auto &peer = incoming_[handle];
+        if (peer.closed) {
+            return;
+        }
         if (peer.proven) {
             receivedMessages_ += 1;
             receivedBytes_ += payload.size();
@@ -364,6 +368,22 @@
         peer.proven = secret_.verify(proofText(PeerSide::Opener, peer.greeting), greeting.proof);
         if (!peer.proven) {
             reject(server_, handle, "wrong fleet secret");
+            return;
+        }
+        closeOlder(handle, peer.greeting.opener);
+    }
+
+    /*! @brief Closes the former connections of an opener: nothing late may come over them. */
+    auto closeOlder(const internal::Handle &newest, const std::string &opener) -> void
+    {
+        for (auto &[handle, peer] : incoming_) {
+            const auto isNewest = !handle.owner_before(newest) && !newest.owner_before(handle);
+            if (isNewest || !peer.proven || peer.greeting.opener != opener) {
+                continue;
+            }
+            peer.closed = true;
+            websocketpp::lib::error_code error;
+            server_.close(handle, websocketpp::close::status::going_away, "replaced", error);
         }
     }
 
--- a/src/jasminelatch/node/runtime.cpp
+++ b/src/jasminelatch/node/runtime.cpp
@@ -16,6 +16,7 @@
 constexpr auto tickInterval = std::chrono::milliseconds{20};
 constexpr Duration storeTimeout = std::chrono::seconds{1};
 constexpr Duration longestLeave = std::chrono::seconds{15};
+constexpr auto longestLastAnswer = std::chrono::seconds{2};
 constexpr long storeConnections = 16;
 constexpr long spareBackendConnections = 64;
 
@@ -75,6 +76,9 @@
         cancelBackend(attempt);
     };
     hooks.answer = [this](const DoorNumber to, net::HttpResponse response) {
+        if (leaving_) {
+            response.headers["Connection"] = "close";
+        }
         doors_.answer(to, std::move(response));
     };
     return hooks;
@@ -233,6 +237,16 @@
     localDoor_->findGoneCallers();
 }
 
+auto Runtime::sendLastAnswers() -> void
+{
+    const auto until = std::chrono::steady_clock::now() + internal::longestLastAnswer;
+    callerDoor_->stopListening();
+    localDoor_->stopListening();
+    while (callerDoor_->openCount() + localDoor_->openCount() > 0 && std::chrono::steady_clock::now() < until) {
+        events_.runUntil(std::chrono::steady_clock::now() + internal::tickInterval);
+    }
+}
+
 auto Runtime::run(const std::atomic<bool> &stopRequested) -> bool
 {
     LOG(INFO) << "node: started at " << settings_.address;
@@ -242,6 +256,7 @@
         if (stopRequested && !leaveSince) {
             LOG(INFO) << "node: leaving";
             leaveSince = clock_.now();
+            leaving_ = true;
             core_.leave();
         }
         if (leaveSince && clock_.now() - *leaveSince > internal::longestLeave) {
@@ -250,6 +265,7 @@
         events_.runUntil(std::chrono::steady_clock::now() + internal::tickInterval);
         maintain();
     }
+    sendLastAnswers();
     const auto clean = core_.requestPath().openRequests() == 0;
     LOG(INFO) << "node: stopped, " << (clean ? "nothing was cut off" : "requests were cut off");
     return clean;
--- a/src/jasminelatch/node/runtime.hpp
+++ b/src/jasminelatch/node/runtime.hpp
@@ -59,10 +59,12 @@
     auto callStore(store::Request request, store::Callback callback) -> void;
     auto answerOperator(const net::HttpRequest &request) -> net::HttpResponse;
     auto maintain() -> void;
+    auto sendLastAnswers() -> void;
 
     Settings settings_;
     Clock clock_;
     EventQueue events_;
+    bool leaving_{};
     Doors doors_;
     std::unordered_map<RequestId, net::HttpClient::CallNumber> backendCalls_;
     Core core_;
--- /dev/null
+++ b/test/support/free_port.hpp
@@ -0,0 +1,44 @@
+#ifndef JASMINELATCH_TEST_SUPPORT_FREE_PORT_HPP
+#define JASMINELATCH_TEST_SUPPORT_FREE_PORT_HPP
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace jasminelatch::test {
+
+/*! @brief Returns a TCP port on the loopback address that was free a moment ago; zero when there is none. */
+[[nodiscard]] inline auto freePort() -> std::uint16_t
+{
+    const auto listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto *generic = reinterpret_cast<sockaddr *>(&address);
+    socklen_t size = sizeof(address);
+    const auto bound = ::bind(listener, generic, size) == 0 && ::getsockname(listener, generic, &size) == 0;
+    ::close(listener);
+    return bound ? ntohs(address.sin_port) : std::uint16_t{};
+}
+
+/*! @brief Opens a TCP connection to a port on the loopback address; negative when that fails. */
+[[nodiscard]] inline auto connectTo(const std::uint16_t port) -> int
+{
+    const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::connect(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+        ::close(socket);
+        return -1;
+    }
+    return socket;
+}
+
+} // namespace jasminelatch::test
+
+#endif
