--- /dev/null
+++ b/test/jasminelatch/node/core.cpp
@@ -0,0 +1,202 @@
+#include <gtest/gtest.h>
+#include <support/fleet_simulation.hpp>
+
+#include <cstdlib>
+#include <numeric>
+
+namespace jasminelatch::node {
+
+using namespace std::chrono_literals;
+
+namespace internal {
+
+constexpr Duration joinTime = 15s;
+constexpr Duration recoveryTime = 45s;
+
+struct Served {
+    std::size_t whole{};
+    std::size_t refused{};
+    std::map<std::string, std::size_t> reasons;
+};
+
+/*! @brief Counts what became of the requests that were sent since a time, without the last account's. */
+auto served(test::FleetSimulation &fleet, const TimePoint since) -> Served
+{
+    Served result;
+    for (const auto &[token, request] : fleet.oracle().requests()) {
+        if (request.arrival < since || request.account == "account-3" || !request.answer) {
+            continue;
+        }
+        const std::string reason{net::header(request.answer->headers, "X-Refusal")};
+        if (request.answer->status < 300 || reason == "cancelled" || reason == "order_in_progress") {
+            ++result.whole;
+        } else {
+            ++result.refused;
+            ++result.reasons[reason.empty() ? std::to_string(request.answer->status) : reason];
+        }
+    }
+    return result;
+}
+
+auto report(const std::set<std::string> &broken) -> std::string
+{
+    return std::accumulate(broken.begin(), broken.end(), std::string{}, [](const auto &text, const auto &each) {
+        return text + each + "\n";
+    });
+}
+
+auto report(const std::map<std::string, std::size_t> &reasons) -> std::string
+{
+    std::string text;
+    for (const auto &[reason, count] : reasons) {
+        text += reason + " " + std::to_string(count) + "\n";
+    }
+    return text;
+}
+
+auto restartLater(test::FleetSimulation &fleet, const std::size_t index, const Duration delay) -> void
+{
+    fleet.after(delay, [&fleet, index] {
+        if (fleet.isUp(index)) {
+            return;
+        }
+        if (fleet.below(2) == 0) {
+            fleet.move(index);
+        }
+        fleet.start(index);
+    });
+}
+
+/*! @brief Sets a fault of a backend server for a time. */
+auto disturbBackend(test::FleetSimulation &fleet, const std::size_t index) -> void
+{
+    auto &faults = fleet.backend(index).faults();
+    switch (fleet.below(4)) {
+    case 0:
+        faults.isMute = true;
+        break;
+    case 1:
+        faults.isFailing = true;
+        break;
+    case 2:
+        faults.slowness = 20;
+        break;
+    default:
+        faults.drainedAt = fleet.now();
+        break;
+    }
+    fleet.after(std::chrono::milliseconds{1000 + fleet.below(4000)}, [&fleet, index] {
+        if (fleet.isUp(index)) {
+            fleet.backend(index).faults() = {};
+        }
+    });
+}
+
+auto cutDomain(test::FleetSimulation &fleet, const std::size_t domain) -> void
+{
+    for (std::size_t left = 0; left < test::FleetSimulation::nodeCount; ++left) {
+        for (std::size_t right = 0; right < test::FleetSimulation::nodeCount; ++right) {
+            if (left % 3 == domain && right % 3 != domain) {
+                fleet.network().cut(left, right);
+            }
+        }
+    }
+    fleet.after(std::chrono::milliseconds{500 + fleet.below(4000)}, [&fleet] { fleet.network().heal(); });
+}
+
+/*! @brief Lets one random fault happen. */
+auto disturb(test::FleetSimulation &fleet) -> void
+{
+    const auto index = fleet.below(test::FleetSimulation::nodeCount);
+    const auto time = std::chrono::milliseconds{200 + fleet.below(5000)};
+    if (!fleet.isUp(index)) {
+        return;
+    }
+    switch (fleet.below(10)) {
+    case 0:
+    case 1:
+        fleet.kill(index);
+        restartLater(fleet, index, time);
+        break;
+    case 2:
+        fleet.pause(index, time);
+        break;
+    case 3:
+        fleet.leave(index);
+        restartLater(fleet, index, 22s);
+        break;
+    case 4:
+        fleet.store().setFault(fleet.below(2) == 0 ? test::StoreFault::Down : test::StoreFault::LoseAnswers);
+        fleet.after(time, [&fleet] { fleet.store().setFault(test::StoreFault::None); });
+        break;
+    case 5:
+        cutDomain(fleet, fleet.below(3));
+        break;
+    case 6:
+        fleet.network().silence(index, fleet.below(test::FleetSimulation::nodeCount));
+        break;
+    case 7:
+        fleet.network().slow(index, std::chrono::milliseconds{1 + fleet.below(300)});
+        fleet.after(time, [&fleet] { fleet.network().heal(); });
+        break;
+    case 8:
+        fleet.replaceKey(fleet.below(test::FleetSimulation::accountCount));
+        break;
+    default:
+        disturbBackend(fleet, index);
+        break;
+    }
+}
+
+/*! @brief Runs a random schedule of faults and then a quiet time. */
+auto runFaults(const std::uint64_t seed) -> void
+{
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    test::FleetSimulation fleet{seed};
+    constexpr Duration faultTime = 15s;
+    fleet.run(joinTime);
+    fleet.load(faultTime + recoveryTime, 8, 6);
+    for (Duration at{}; at < faultTime; at += std::chrono::milliseconds{200 + fleet.below(1200)}) {
+        fleet.after(at, [&fleet] { disturb(fleet); });
+    }
+    fleet.run(faultTime + recoveryTime);
+    const auto since = fleet.now();
+    fleet.load(5s, 8, 1);
+    fleet.run(8s);
+    fleet.oracle().finish(fleet.now());
+    EXPECT_EQ(report(fleet.oracle().broken()), "");
+    const auto after = served(fleet, since);
+    EXPECT_EQ(report(after.reasons), "");
+    EXPECT_GT(after.whole, 100U);
+    EXPECT_EQ(fleet.heldAtExit(), 0U) << "leases held by a node that left";
+}
+
+} // namespace internal
+
+TEST(Core, QuietFleetServesEverything)
+{
+    test::FleetSimulation fleet{1};
+    fleet.run(internal::joinTime);
+    const auto since = fleet.now();
+    fleet.load(10s, 8, 6);
+    fleet.run(13s);
+    fleet.oracle().finish(fleet.now());
+    EXPECT_EQ(internal::report(fleet.oracle().broken()), "");
+    const auto result = internal::served(fleet, since);
+    EXPECT_LT(static_cast<double>(result.refused), 0.01 * static_cast<double>(result.whole))
+        << internal::report(result.reasons);
+    EXPECT_GT(result.whole, 200U);
+}
+
+TEST(Core, RandomFaultsBreakNoPromise)
+{
+    const auto *first = std::getenv("FLEET_SEED");
+    const auto *count = std::getenv("FLEET_RUNS");
+    const auto begin = first == nullptr ? std::uint64_t{100} : std::strtoull(first, nullptr, 10);
+    const auto runs = count == nullptr ? std::uint64_t{4} : std::strtoull(count, nullptr, 10);
+    for (auto seed = begin; seed < begin + runs; ++seed) {
+        internal::runFaults(seed);
+    }
+}
+
+} // namespace jasminelatch::node
--- /dev/null
+++ b/test/support/fleet_network.hpp
@@ -0,0 +1,225 @@
+#ifndef JASMINELATCH_TEST_SUPPORT_FLEET_NETWORK_HPP
+#define JASMINELATCH_TEST_SUPPORT_FLEET_NETWORK_HPP
+
+#include <jasminelatch/core/clock.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jasminelatch::test {
+
+/*! @brief Runs events on a paused clock in order of time. */
+class Scheduler
+{
+public:
+    Scheduler()
+    {
+        clock_.pause();
+        clock_.advance(std::chrono::hours{48});
+    }
+
+    [[nodiscard]] auto clock() const -> const Clock & { return clock_; }
+    [[nodiscard]] auto now() const -> TimePoint { return clock_.now(); }
+
+    auto after(const Duration delay, std::function<void()> event) -> void
+    {
+        events_.emplace(std::pair{now() + delay, ++sequence_}, std::move(event));
+    }
+
+    auto run(const Duration time) -> void
+    {
+        const auto end = now() + time;
+        while (!events_.empty() && events_.begin()->first.first <= end) {
+            auto entry = events_.extract(events_.begin());
+            clock_.advance(entry.key().first - now());
+            entry.mapped()();
+        }
+        clock_.advance(end - now());
+    }
+
+private:
+    Clock clock_;
+    std::uint64_t sequence_{};
+    std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> events_;
+};
+
+/**
+ * @brief Network with one outgoing connection a pair of nodes; order holds on a connection, not from one to the next.
+ */
+class FleetNetwork
+{
+public:
+    using Index = std::size_t;
+
+    /*! @brief What the network tells its nodes. */
+    struct Hooks {
+        std::function<void(Index at, Index from, std::string)> deliver; /*!< A message has arrived. */
+        std::function<void(Index at, Index peer)> opened; /*!< A connection carries messages. */
+        std::function<void(Index at, Index peer)> closed; /*!< A connection broke or can't be opened. */
+        std::function<std::uint64_t(Index)> life; /*!< Number of the process at a node; zero while there is none. */
+    };
+
+    FleetNetwork(Scheduler &scheduler, const std::uint64_t seed, Hooks hooks)
+        : scheduler_{&scheduler}
+        , random_{seed}
+        , hooks_{std::move(hooks)}
+    {
+    }
+
+    auto send(const Index from, const Index to, std::string bytes) -> void
+    {
+        auto &link = links_[{from, to}];
+        if (link.state == State::Open && link.life != hooks_.life(to) && !link.isSilent) {
+            close(from, to, link);
+            return;
+        }
+        if (link.state == State::Open) {
+            transmit(from, to, link, std::move(bytes));
+            return;
+        }
+        link.queued.push_back(std::move(bytes));
+        if (link.state == State::Closed) {
+            open(from, to, link);
+        }
+    }
+
+    auto reopen(const Index from, const Index to) -> void
+    {
+        auto &link = links_[{from, to}];
+        link.queued.clear();
+        open(from, to, link);
+    }
+
+    /*! @brief Ends the connections of a process that is gone; some peers don't learn of it. */
+    auto drop(const Index node) -> void
+    {
+        std::erase_if(links_, [&](const auto &entry) { return entry.first.first == node; });
+        for (auto &[pair, link] : links_) {
+            if (pair.second != node || link.state != State::Open) {
+                continue;
+            }
+            if (random_() % 2 == 0) {
+                close(pair.first, pair.second, link);
+            } else {
+                link.isSilent = true;
+            }
+        }
+    }
+
+    /*! @brief Lets nothing through between two nodes, and their connections go silent for good. */
+    auto cut(const Index left, const Index right) -> void
+    {
+        cuts_.insert(std::minmax(left, right));
+        silence(left, right);
+        silence(right, left);
+    }
+
+    auto heal() -> void
+    {
+        cuts_.clear();
+        slow_.clear();
+    }
+
+    /*! @brief The present connection in this direction goes silent for good. */
+    auto silence(const Index from, const Index to) -> void { links_[{from, to}].isSilent = true; }
+
+    auto slow(const Index node, const Duration delay) -> void { slow_[node] = delay; }
+
+private:
+    enum class State : std::uint8_t { Closed, Opening, Open };
+
+    struct Link {
+        State state{State::Closed};
+        std::uint64_t id{};
+        std::uint64_t life{};
+        bool isSilent{};
+        TimePoint lastArrival;
+        std::vector<std::string> queued;
+    };
+
+    auto delay(const Index from, const Index to) -> Duration
+    {
+        const auto longest = std::max(slow_[from], slow_[to]) + std::chrono::microseconds{600};
+        return std::chrono::microseconds{200 + random_() % static_cast<std::uint64_t>(longest.count())};
+    }
+
+    auto isCut(const Index left, const Index right) const -> bool { return cuts_.contains(std::minmax(left, right)); }
+
+    auto transmit(const Index from, const Index to, Link &link, std::string bytes) -> void
+    {
+        if (link.isSilent) {
+            return;
+        }
+        link.lastArrival = std::max(link.lastArrival, scheduler_->now() + delay(from, to));
+        const auto life = link.life;
+        scheduler_->after(link.lastArrival - scheduler_->now(), [this, from, to, life, bytes = std::move(bytes)] {
+            if (hooks_.life(to) == life && !isCut(from, to)) {
+                hooks_.deliver(to, from, bytes);
+            }
+        });
+    }
+
+    auto open(const Index from, const Index to, Link &link) -> void
+    {
+        link.state = State::Opening;
+        link.isSilent = false;
+        link.lastArrival = {};
+        link.id = ++lastId_;
+        scheduler_->after(std::chrono::milliseconds{1} + delay(from, to),
+                          [this, from, to, id = link.id] { onOpened(from, to, id); });
+    }
+
+    auto onOpened(const Index from, const Index to, const std::uint64_t id) -> void
+    {
+        const auto position = links_.find({from, to});
+        if (position == links_.end() || position->second.id != id) {
+            return;
+        }
+        auto &link = position->second;
+        link.life = hooks_.life(to);
+        if (link.life == 0 || isCut(from, to)) {
+            close(from, to, link);
+            return;
+        }
+        link.state = State::Open;
+        hooks_.opened(from, to);
+        const auto queued = std::exchange(link.queued, {});
+        for (const auto &bytes : queued) {
+            transmit(from, to, link, bytes);
+        }
+    }
+
+    auto close(const Index from, const Index to, Link &link) -> void
+    {
+        link.state = State::Closed;
+        link.id = ++lastId_;
+        link.queued.clear();
+        const auto known = isCut(from, to) ? Duration{std::chrono::seconds{1}} : delay(from, to);
+        scheduler_->after(known, [this, from, to, id = link.id] {
+            const auto position = links_.find({from, to});
+            if (position != links_.end() && position->second.id == id) {
+                hooks_.closed(from, to);
+            }
+        });
+    }
+
+    Scheduler *scheduler_;
+    std::mt19937_64 random_;
+    Hooks hooks_;
+    std::map<std::pair<Index, Index>, Link> links_;
+    std::set<std::pair<Index, Index>> cuts_;
+    std::map<Index, Duration> slow_;
+    std::uint64_t lastId_{};
+};
+
+} // namespace jasminelatch::test
+
+#endif
--- /dev/null
+++ b/test/support/fleet_oracle.hpp
@@ -0,0 +1,221 @@
+#ifndef JASMINELATCH_TEST_SUPPORT_FLEET_ORACLE_HPP
+#define JASMINELATCH_TEST_SUPPORT_FLEET_ORACLE_HPP
+
+#include <jasminelatch/core/clock.hpp>
+#include <jasminelatch/filter/fields.hpp>
+#include <jasminelatch/net/http.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace jasminelatch::test {
+
+/*! @brief Field by which backend servers and the oracle know a request. */
+inline constexpr std::string_view tokenField = "X-Token";
+
+/*! @brief Request of a client, as the oracle keeps it. */
+struct ClientRequest {
+    std::string token; /*!< Unique; the nested calls of a run append to it. */
+    std::string account; /*!< Client account; empty on open routes. */
+    std::string keyId; /*!< Id of the key that came with it. */
+    std::string order; /*!< Idempotency key; empty for idempotent kinds. */
+    std::size_t nested{}; /*!< Nested answers that a whole answer holds. */
+    std::size_t node{}; /*!< Entry node. */
+    TimePoint arrival; /*!< When it was sent. */
+    TimePoint deadline; /*!< When its answer is due. */
+    std::vector<TimePoint> runs; /*!< When backend servers began to run it. */
+    std::string requestId; /*!< Id that the backend server was shown. */
+    std::optional<net::HttpResponse> answer; /*!< Its answer. */
+    bool isVoid{}; /*!< Its entry node was killed or paused, or its client left. */
+    bool isNotRun{}; /*!< Its answer says that it has not run. */
+};
+
+/**
+ * @brief Checks the promises of a fleet over a run and collects the broken ones.
+ */
+class FleetOracle
+{
+public:
+    /*! @brief Limits that the records of the run set. */
+    struct Limits {
+        double rate{}; /*!< Rate of every account, in requests a second. */
+        double burst{}; /*!< Burst of every account. */
+        std::size_t retries{}; /*!< Retries over the tree of one client request. */
+    };
+
+    explicit FleetOracle(const Limits limits)
+        : limits_{limits}
+    {
+    }
+
+    auto sent(ClientRequest request) -> void
+    {
+        const auto token = request.token;
+        requests_.emplace(token, std::move(request));
+    }
+
+    auto keyWithdrawn(const std::string &keyId, const TimePoint now) -> void { withdrawn_.emplace(keyId, now); }
+
+    /*! @brief Notes that a backend server begins to run a call. */
+    auto ran(const net::Headers &headers, const std::string &url, const std::string &body, const TimePoint now) -> void
+    {
+        check(!seesKey(headers, url, body), "a backend server saw a key");
+        const std::string site{net::header(headers, tokenField)};
+        auto &request = requests_.at(site.substr(0, site.find('/')));
+        const std::string order{net::header(headers, filter::idempotencyField)};
+        ++runsOfSite_[site];
+        check(order.empty() || ++runsOfOrder_[request.account + " " + order] == 1, "order ran twice: " + order);
+        check(!request.isNotRun, "ran after not_run: " + site);
+        if (site != request.token) {
+            return;
+        }
+        request.runs.push_back(now);
+        request.requestId = net::header(headers, filter::requestIdField);
+        const auto gone = withdrawn_.find(request.keyId);
+        check(gone == withdrawn_.end() || now - gone->second <= std::chrono::seconds{7}, "ran for a withdrawn key");
+    }
+
+    auto
+    answered(const std::string &token, const net::HttpResponse &response, const TimePoint now, const Duration slack)
+        -> void
+    {
+        auto &request = requests_.at(token);
+        check(!request.answer, "answered twice: " + token);
+        const auto late = now - request.deadline;
+        check(request.isVoid || late <= slack,
+              "answered late: " + token + " by " + std::to_string(late.count()) + " us");
+        request.answer = response;
+        if (response.status < 300) {
+            checkWhole(request, response);
+            return;
+        }
+        request.isNotRun = net::header(response.headers, filter::outcomeField) == "not_run";
+        check(!request.isNotRun || request.runs.empty(), "not_run although it ran: " + token);
+    }
+
+    /*! @brief Excuses the open requests of a node whose entry node was killed or paused. */
+    auto excuse(const std::size_t node) -> void
+    {
+        for (auto &[token, request] : requests_) {
+            request.isVoid = request.isVoid || (request.node == node && !request.answer);
+        }
+    }
+
+    [[nodiscard]] auto openAt(const std::size_t node) const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(), [&](const auto &entry) {
+            return entry.second.node == node && !entry.second.answer && !entry.second.isVoid;
+        }));
+    }
+
+    /*! @brief Checks what can be seen only at the end of a run. */
+    auto finish(const TimePoint now) -> void
+    {
+        for (const auto &[token, request] : requests_) {
+            const auto isDue = request.deadline + std::chrono::seconds{1} < now;
+            check(request.answer || request.isVoid || !isDue, "never answered: " + token);
+        }
+        checkRetries();
+        checkRates();
+    }
+
+    auto check(const bool holds, const std::string &what) -> void
+    {
+        if (!holds) {
+            broken_.insert(what);
+        }
+    }
+
+    [[nodiscard]] auto broken() const -> const std::set<std::string> & { return broken_; }
+    [[nodiscard]] auto requests() const -> const std::map<std::string, ClientRequest> & { return requests_; }
+
+private:
+    [[nodiscard]] static auto seesKey(const net::Headers &headers, const std::string &url, const std::string &body)
+        -> bool
+    {
+        constexpr std::string_view mark = "jl_";
+        const auto inField = std::any_of(headers.begin(), headers.end(), [&](const auto &field) {
+            return field.first.find(mark) != std::string::npos || field.second.find(mark) != std::string::npos;
+        });
+        return inField || url.find(mark) != std::string::npos || body.find(mark) != std::string::npos;
+    }
+
+    auto checkWhole(const ClientRequest &request, const net::HttpResponse &response) -> void
+    {
+        const auto body = nlohmann::json::parse(response.body, nullptr, false);
+        const auto isOwn = body.is_object() && body.value("order", "") == request.order
+                        && (!request.order.empty() || body.value("token", "") == request.token);
+        check(isOwn, "answer of another request: " + request.token);
+        check(body.is_object() && body["nested"].size() == request.nested, "answer not whole: " + request.token);
+        const auto id = net::header(response.headers, filter::requestIdField);
+        check(request.runs.empty() || id == request.requestId, "id of another request: " + request.token);
+        check(!request.runs.empty() || !request.order.empty(), "answer without a run: " + request.token);
+    }
+
+    auto checkRetries() -> void
+    {
+        std::map<std::string, std::size_t> retries;
+        for (const auto &[site, runs] : runsOfSite_) {
+            retries[site.substr(0, site.find('/'))] += runs - 1;
+        }
+        for (const auto &[token, count] : retries) {
+            check(count <= limits_.retries, token + " had " + std::to_string(count) + " retries");
+        }
+    }
+
+    /*! @brief A token is granted between arrival and run, so those within a window bound the grants within it. */
+    auto checkRates() -> void
+    {
+        std::map<std::string, std::vector<const ClientRequest *>> byAccount;
+        for (const auto &[token, request] : requests_) {
+            if (!request.account.empty() && !request.runs.empty()) {
+                byAccount[request.account].push_back(&request);
+            }
+        }
+        for (auto &[account, requests] : byAccount) {
+            std::sort(requests.begin(), requests.end(), [](const auto *left, const auto *right) {
+                return left->runs.front() < right->runs.front();
+            });
+            for (const auto *first : requests) {
+                checkWindows(account, requests, first->arrival);
+            }
+        }
+    }
+
+    auto checkWindows(const std::string &account,
+                      const std::vector<const ClientRequest *> &requests,
+                      const TimePoint start) -> void
+    {
+        double count = 0;
+        for (const auto *request : requests) {
+            if (request->arrival < start) {
+                continue;
+            }
+            ++count;
+            const auto seconds = std::chrono::duration<double>(request->runs.front() - start).count();
+            check(count <= limits_.burst + limits_.rate * seconds + 1e-6, "rate passed by " + account);
+        }
+    }
+
+    Limits limits_;
+    std::map<std::string, ClientRequest> requests_;
+    std::map<std::string, std::size_t> runsOfSite_;
+    std::map<std::string, std::size_t> runsOfOrder_;
+    std::map<std::string, TimePoint> withdrawn_;
+    std::set<std::string> broken_;
+};
+
+} // namespace jasminelatch::test
+
+#endif
