Dispatcher: no "not run" after an attempt that may have run

Cause: a retry refused for its deadline ended the job with that refusal's own outcome, although an earlier attempt had run; only refusals that went through the retry decision were corrected. Ruled out: late answers of other requests.

--- a/src/jasminelatch/call/dispatcher.cpp
+++ b/src/jasminelatch/call/dispatcher.cpp
@@ -176,9 +176,6 @@
     -> void
 {
     running.mayHaveRun = running.mayHaveRun || outcome != Outcome::NotRun;
-    if (result.refusal && running.mayHaveRun && result.refusal->outcome == Outcome::NotRun) {
-        result.refusal->outcome = Outcome::Unknown;
-    }
     const auto id = running.job.id;
     if (running.mayHaveRun && !running.job.attempt.idempotent) {
         finish(id, std::move(result));
@@ -249,9 +246,16 @@
 
 auto Dispatcher::finish(const RequestId job, JobResult result) -> void
 {
-    if (running_.erase(job) > 0) {
-        hooks_.done(job, std::move(result));
+    const auto position = running_.find(job);
+    if (position == running_.end()) {
+        return;
+    }
+    // "Not run" speaks of the last attempt alone; an earlier one may have run.
+    if (result.refusal && result.refusal->outcome == Outcome::NotRun && position->second.mayHaveRun) {
+        result.refusal->outcome = Outcome::Unknown;
     }
+    running_.erase(position);
+    hooks_.done(job, std::move(result));
 }
 
 auto Dispatcher::size() const noexcept -> std::size_t
