Request path: a deadline also ends a request that waits in a filter

Cause: only dispatched jobs were ended at their deadline; a claim whose holder is gone is waited for up to 2 s.

--- a/src/jasminelatch/node/request_path.cpp
+++ b/src/jasminelatch/node/request_path.cpp
@@ -483,9 +483,24 @@
     cache_.tick();
     monitor_.tick();
     dispatcher_.tick();
+    expireWaiting();
     executor_.tick();
 }
 
+auto RequestPath::expireWaiting() -> void
+{
+    // The dispatcher has ended its own late jobs: what is late now still waits in a filter.
+    std::vector<RequestId> expired;
+    for (const auto &[id, open] : exchanges_) {
+        if (open.exchange.deadline <= clock_->now()) {
+            expired.push_back(id);
+        }
+    }
+    for (const auto &id : expired) {
+        refuse(id, {RefusalReason::DeadlineExpired, Outcome::NotRun, internal::leavingRetryAfter});
+    }
+}
+
 auto RequestPath::endNested(const RequestId &parent) -> void
 {
     std::vector<RequestId> nested;
--- a/src/jasminelatch/node/request_path.hpp
+++ b/src/jasminelatch/node/request_path.hpp
@@ -158,6 +158,7 @@
     auto reply(const NodeAddress &to, const call::Answer &answer) -> void;
     auto endNested(const RequestId &parent) -> void;
     auto peerSilent(const NodeAddress &peer) -> void;
+    auto expireWaiting() -> void;
     auto refuse(const RequestId &id, const Refusal &refusal) -> void;
     auto finish(const RequestId &id, net::HttpResponse response) -> void;
     auto close(const RequestId &id, net::HttpResponse response, metrics::LatencySummary &summary) -> void;
