Leave: a node ends only when its leases are released

Cause: finished() looked at the membership alone; the releases were still on their way to the store, so that rights stayed taken until they lapsed. The wait is bounded by the lease's time to live, for a store that is down.

--- a/src/jasminelatch/lease/lease_controller.cpp
+++ b/src/jasminelatch/lease/lease_controller.cpp
@@ -110,6 +110,13 @@
     }
 }
 
+auto LeaseController::allReleased() const -> bool
+{
+    return std::none_of(states_.begin(), states_.end(), [this](const auto &entry) {
+        return isOwnRecord(entry.second) || !entry.second.unresolved.empty();
+    });
+}
+
 auto LeaseController::handle(const NodeAddress &from, const PromiseRequest &request) -> void
 {
     auto &state = states_[request.right];
--- a/src/jasminelatch/lease/lease_controller.hpp
+++ b/src/jasminelatch/lease/lease_controller.hpp
@@ -114,6 +114,12 @@
     /*! @brief Gives up every right, tells the successors and acquires nothing any more. */
     auto releaseAll() -> void;
 
+    /**
+     * @brief Tells whether the store shows every right given up.
+     * @return False while a record may still name this process as holder.
+     */
+    [[nodiscard]] auto allReleased() const -> bool;
+
 private:
     using State = internal::RightState;
 
--- a/src/jasminelatch/node/controllers.cpp
+++ b/src/jasminelatch/node/controllers.cpp
@@ -12,6 +12,9 @@
 
 namespace internal {
 
+/*! @brief Time after which a lease has lapsed anyway. */
+constexpr Duration longestRelease = lease::Settings{}.storeLeaseTtl;
+
 auto quotaSettings(const Settings &settings) -> quota::Settings
 {
     quota::Settings quota;
@@ -265,7 +268,7 @@
         claimHolder_->tick();
         claimant_->tick();
     }
-    if (!leaving_) {
+    if (!leftAt_) {
         followDuties();
     }
 }
@@ -328,9 +331,17 @@
 
 auto Controllers::leave() -> void
 {
-    leaving_ = true;
+    leftAt_ = clock_->now();
     membership_.leave();
     lease_.releaseAll();
 }
 
+auto Controllers::hasLeft() const -> bool
+{
+    if (!leftAt_ || membership_.status() != membership::Status::Left) {
+        return false;
+    }
+    return lease_.allReleased() || clock_->now() - *leftAt_ >= internal::longestRelease;
+}
+
 } // namespace jasminelatch::node
--- a/src/jasminelatch/node/controllers.hpp
+++ b/src/jasminelatch/node/controllers.hpp
@@ -79,6 +79,12 @@
     /*! @brief Tells the fleet that this node goes, and hands back its rights. */
     auto leave() -> void;
 
+    /**
+     * @brief Tells whether the fleet knows that this node goes and that its rights are free.
+     * @return True also once the leases have lapsed without a release that the store took.
+     */
+    [[nodiscard]] auto hasLeft() const -> bool;
+
     /*! @brief Returns the configuration. */
     [[nodiscard]] auto configuration() noexcept -> configuration::Controller & { return configuration_; }
     /*! @brief Returns the membership. */
@@ -120,7 +126,7 @@
     std::uint32_t orderShards_{};
     std::map<order::Shard, lease::Acquisition> acquiredShards_;
     std::set<RightName> contended_;
-    bool leaving_{};
+    std::optional<TimePoint> leftAt_;
 };
 
 } // namespace jasminelatch::node
--- a/src/jasminelatch/node/core.cpp
+++ b/src/jasminelatch/node/core.cpp
@@ -215,8 +215,7 @@
 
 auto Core::finished() -> bool
 {
-    return leaving_ && requestPath_.openRequests() == 0
-        && controllers_.membership().status() == membership::Status::Left;
+    return leaving_ && requestPath_.openRequests() == 0 && controllers_.hasLeft();
 }
 
 auto Core::status() -> nlohmann::json
