--- a/src/jasminelatch/load/scenario.cpp
+++ b/src/jasminelatch/load/scenario.cpp
@@ -2,6 +2,8 @@
 
 #include <jasminelatch/record/reader.hpp>
 
+#include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace jasminelatch::load {
@@ -102,6 +104,39 @@
     return phase;
 }
 
+auto readDocument(const nlohmann::json &json, const std::string &file, Findings &findings) -> std::optional<Scenario>
+{
+    const auto before = findings.size();
+    record::Reader reader{json, {file, ""}, findings};
+    Scenario scenario;
+    scenario.name = reader.requiredText("name");
+    scenario.records = reader.text("records", "records");
+    scenario.duration = reader.milliseconds("duration_ms", timeRange, std::chrono::seconds{10});
+    scenario.warmUp = reader.milliseconds("warm_up_ms", timeRange, scenario.warmUp);
+    scenario.retry = toHabit(reader, scenario.retry);
+    scenario.entry = toEntry(reader);
+    for (auto &load : reader.sections("load")) {
+        scenario.load.push_back(readLoad(std::move(load)));
+    }
+    for (auto &phase : reader.sections("phases")) {
+        scenario.phases.push_back(readPhase(std::move(phase)));
+    }
+    reader.finish();
+    return findings.size() > before ? std::nullopt : std::optional{std::move(scenario)};
+}
+
+auto parseFile(const std::filesystem::path &file, Findings &findings) -> std::optional<nlohmann::json>
+{
+    const std::ifstream stream{file};
+    if (!stream) {
+        findings.push_back({file.string(), "", "can't be read"});
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return record::parseJson(text.str(), file.string(), findings);
+}
+
 auto covers(const Phase &phase, const Duration at) -> bool
 {
     return phase.start <= at && at < phase.end;
@@ -111,30 +146,27 @@
 
 auto parseScenario(const std::string_view text, const std::string &file, Findings &findings) -> std::optional<Scenario>
 {
-    const auto before = findings.size();
     const auto json = record::parseJson(text, file, findings);
+    return json ? internal::readDocument(*json, file, findings) : std::nullopt;
+}
+
+auto readScenario(const std::filesystem::path &file, Findings &findings) -> std::optional<Scenario>
+{
+    auto json = internal::parseFile(file, findings);
     if (!json) {
         return std::nullopt;
     }
-    record::Reader reader{*json, {file, ""}, findings};
-    Scenario scenario;
-    scenario.name = reader.requiredText("name");
-    scenario.records = reader.text("records", "records");
-    scenario.duration = reader.milliseconds("duration_ms", internal::timeRange, std::chrono::seconds{10});
-    scenario.warmUp = reader.milliseconds("warm_up_ms", internal::timeRange, scenario.warmUp);
-    scenario.retry = internal::toHabit(reader, scenario.retry);
-    scenario.entry = internal::toEntry(reader);
-    for (auto &load : reader.sections("load")) {
-        scenario.load.push_back(internal::readLoad(std::move(load)));
+    constexpr auto baseField = "extends";
+    if (!json->is_object() || !json->contains(baseField) || !json->at(baseField).is_string()) {
+        return internal::readDocument(*json, file.string(), findings);
     }
-    for (auto &phase : reader.sections("phases")) {
-        scenario.phases.push_back(internal::readPhase(std::move(phase)));
-    }
-    reader.finish();
-    if (findings.size() > before) {
+    auto base = internal::parseFile(file.parent_path() / json->at(baseField).get<std::string>(), findings);
+    if (!base) {
         return std::nullopt;
     }
-    return scenario;
+    json->erase(baseField);
+    base->merge_patch(*json);
+    return internal::readDocument(*base, file.string(), findings);
 }
 
 auto rateAt(const Scenario &scenario, const AccountLoad &load, const Duration at) -> double
--- a/src/jasminelatch/load/scenario.hpp
+++ b/src/jasminelatch/load/scenario.hpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <filesystem>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -81,6 +82,14 @@
 [[nodiscard]] auto parseScenario(std::string_view text, const std::string &file, Findings &findings)
     -> std::optional<Scenario>;
 
+/**
+ * @brief Reads a scenario from a file; its field `extends` names a file beside it whose fields hold unless replaced.
+ * @param file The file.
+ * @param findings Receives everything that is wrong.
+ * @return The scenario, or nothing when there were findings.
+ */
+[[nodiscard]] auto readScenario(const std::filesystem::path &file, Findings &findings) -> std::optional<Scenario>;
+
 /**
  * @brief Returns the rate of an account at a time.
  * @param scenario The scenario.
--- a/src/programs/jasminelatch-load/main.cpp
+++ b/src/programs/jasminelatch-load/main.cpp
@@ -1,9 +1,13 @@
 #include <jasminelatch/control/directory.hpp>
 #include <jasminelatch/control/operator.hpp>
 #include <jasminelatch/load/chart.hpp>
+#include <jasminelatch/load/comparison.hpp>
 #include <jasminelatch/load/measures.hpp>
 #include <jasminelatch/load/report.hpp>
 #include <jasminelatch/load/runner.hpp>
+#include <jasminelatch/load/scenario.hpp>
+#include <jasminelatch/program/program.hpp>
+#include <jasminelatch/record/reader.hpp>
 
 #include <CLI/CLI.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -12,7 +16,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -21,6 +24,7 @@
 
 constexpr int exitOk = 0;
 constexpr int exitFindings = 1;
+constexpr int exitUsage = 2;
 constexpr std::uint64_t defaultSeed = 20261204;
 
 /*! @brief Everything that the command line can set. */
@@ -32,17 +36,10 @@
     std::vector<std::string> backends;
     std::string store;
     std::string out;
+    std::vector<std::string> compare;
     std::uint64_t seed{defaultSeed};
 };
 
-auto readFile(const std::string &file) -> std::string
-{
-    const std::ifstream stream{file};
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return text.str();
-}
-
 auto readKeys(const std::string &file, load::Targets &targets) -> void
 {
     std::ifstream stream{file};
@@ -113,7 +110,7 @@
 auto runLoad(const Options &options) -> int
 {
     jasminelatch::Findings findings;
-    const auto scenario = load::parseScenario(readFile(options.scenario), options.scenario, findings);
+    const auto scenario = load::readScenario(options.scenario, findings);
     std::cerr << jasminelatch::toText(findings);
     if (!scenario) {
         return exitFindings;
@@ -142,6 +139,24 @@
     return exitOk;
 }
 
+auto compare(const std::vector<std::string> &runs) -> int
+{
+    jasminelatch::Findings findings;
+    std::vector<load::NamedMeasures> named;
+    for (const auto &run : runs) {
+        const auto separator = run.find('=');
+        const auto file = separator == std::string::npos ? run : run.substr(separator + 1);
+        const auto text = jasminelatch::program::readFile(file, findings);
+        const auto json = text ? record::parseJson(*text, file, findings) : std::nullopt;
+        if (json) {
+            named.push_back({run.substr(0, separator), *json});
+        }
+    }
+    std::cerr << jasminelatch::toText(findings);
+    std::cout << load::compareRuns(named);
+    return findings.empty() ? exitOk : exitFindings;
+}
+
 } // namespace
 
 auto main(int argc, char **argv) -> int
@@ -149,15 +164,23 @@
     Options options;
     CLI::App app{"Plays an open-loop load against running nodes and measures what callers get."};
     app.set_version_flag("--version", std::string{"jasminelatch-load "} + JASMINELATCH_VERSION);
-    app.add_option("scenario", options.scenario, "Scenario, JSON with comments")->required()->check(CLI::ExistingFile);
-    app.add_option("--nodes", options.nodes, "URLs of the nodes' ports for callers")->required()->delimiter(',');
-    app.add_option("--keys", options.keys, "File with lines of account and key")->required()->check(CLI::ExistingFile);
+    app.add_option("scenario", options.scenario, "Scenario, JSON with comments");
+    app.add_option("--nodes", options.nodes, "URLs of the nodes' ports for callers")->delimiter(',');
+    app.add_option("--keys", options.keys, "File with lines of account and key");
     app.add_option("--records", options.records, "Directory with the records in force; default: the scenario's");
     app.add_option("--backends", options.backends, "Backend servers for faults, as service=URL")->delimiter(',');
     app.add_option("--store", options.store, "URL of the store's stand-in, for faults");
     app.add_option("--seed", options.seed, "Seed of everything that is drawn")->capture_default_str();
     app.add_option("--out", options.out, "Directory for measures.json, requests.json and chart.svg");
+    app.add_option("--compare", options.compare, "Instead: sets runs side by side, as name=measures.json");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    if (!options.compare.empty()) {
+        return compare(options.compare);
+    }
+    if (options.scenario.empty() || options.nodes.empty()) {
+        std::cerr << "a scenario and --nodes are needed\n";
+        return exitUsage;
+    }
     return runLoad(options);
 }
