--- a/src/jasminelatch/call/dispatcher.hpp
+++ b/src/jasminelatch/call/dispatcher.hpp
@@ -45,8 +45,8 @@
         std::function<void(const NodeAddress &to, const Attempt &)> send; /*!< Sends to a node, itself included. */
         std::function<void(const NodeAddress &to, const RequestId &attempt)> cancel; /*!< Withdraws an attempt. */
         std::function<void(const RequestId &job, JobResult)> done; /*!< A job has ended; called once for each. */
-        /*! Takes in the load report on an answer. */
-        std::function<void(const ServiceName &, const NodeAddress &, const admission::Pressure &)> pressure;
+        /*! Takes in the load report on the answer to an attempt. */
+        std::function<void(const Attempt &, const NodeAddress &from, const admission::Pressure &)> pressure;
     };
 
     /**
