--- a/src/jasminelatch/standin/backend_server.cpp
+++ b/src/jasminelatch/standin/backend_server.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint32_t misreportFactor = 10;
 constexpr std::size_t mostRuns = 200'000;
 constexpr long spareConnections = 32;
+constexpr Duration drainTime = std::chrono::seconds{1};
 
 auto toRun(const net::HttpRequest &request) -> nlohmann::json
 {
@@ -279,9 +280,11 @@
 auto BackendServer::run(const std::atomic<bool> &stopRequested) -> void
 {
     announce();
-    while (!stopping_ || !works_.empty()) {
+    TimePoint stopAt{};
+    while (!stopping_ || !works_.empty() || clock_.now() < stopAt) {
         if (stopRequested && !stopping_) {
             stopping_ = true;
+            stopAt = clock_.now() + internal::drainTime;
             announce();
         }
         events_.runUntil(std::chrono::steady_clock::now() + internal::tickInterval);
--- a/test/jasminelatch/process/leaving.cpp
+++ b/test/jasminelatch/process/leaving.cpp
@@ -63,16 +63,11 @@
     ASSERT_TRUE(waitUntil([&] { return traffic.wholeSince(begin) >= 100; }));
     fleet.control(1, {{"draining", true}});
     const auto drained = std::chrono::steady_clock::now();
-    const auto runsNow = [&] {
-        const auto before = fleet.runs("shop").size();
-        fleet.keepRuns(1);
-        return fleet.runs("shop").size() - before;
-    };
     ASSERT_TRUE(waitUntil([&] { return std::chrono::steady_clock::now() - drained > drainLimit; }));
-    const auto atLimit = runsNow();
+    const auto atLimit = fleet.runCount(1);
     const auto later = std::chrono::steady_clock::now();
     EXPECT_TRUE(waitUntil([&] { return traffic.wholeSince(later) >= 300; }));
-    EXPECT_EQ(runsNow(), atLimit) << "new work after the bound";
+    EXPECT_EQ(fleet.runCount(1), atLimit) << "new work after the bound";
     fleet.vm(1).backend.signal(SIGTERM);
     EXPECT_EQ(fleet.vm(1).backend.wait(leaveLimit), 0);
     const auto sent = traffic.stop();
--- a/test/support/process_fleet.cpp
+++ b/test/support/process_fleet.cpp
@@ -283,6 +283,11 @@
     return all;
 }
 
+auto ProcessFleet::runCount(const std::size_t index) const -> std::size_t
+{
+    return internal::get(vms_[index].backendServer() + "/_runs").size();
+}
+
 auto ProcessFleet::holderOf(const std::string &right) const -> std::optional<std::size_t>
 {
     for (std::size_t index = 0; index < size(); ++index) {
--- a/test/support/process_fleet.hpp
+++ b/test/support/process_fleet.hpp
@@ -117,6 +117,9 @@
     /*! @brief Returns all that the backend servers of a service ran, also those that ended. */
     [[nodiscard]] auto runs(const std::string &service) -> std::vector<nlohmann::json>;
 
+    /*! @brief Returns how many requests a backend server ran. */
+    [[nodiscard]] auto runCount(std::size_t index) const -> std::size_t;
+
     /*! @brief Returns what a node's operators' port answers, or null. */
     [[nodiscard]] auto ask(std::size_t index, const std::string &path) const -> nlohmann::json;
 
