Ticket: an alphabet that can't spell the prefix of a key

Cause: url-safe base64 holds "jl_" by chance; authentication takes such fields out as keys, so that the nested call was refused without its ticket.

--- a/src/jasminelatch/ticket/ticket.cpp
+++ b/src/jasminelatch/ticket/ticket.cpp
@@ -9,7 +9,8 @@
 
 namespace internal {
 
-constexpr auto variant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
+// The url-safe alphabet can spell the prefix of a key by chance, and authentication takes such fields out.
+constexpr auto variant = sodium_base64_VARIANT_ORIGINAL_NO_PADDING;
 constexpr std::size_t longestText = 4096;
 
 auto encode(const std::vector<std::uint8_t> &bytes) -> std::string
