Downstream pressure counts for nested calls alone

Cause: every node took the pressure of each service that it dispatched to as downstream of its own backend server, also for requests of clients. Instances of two services kept each other's gates closed without any load, for good after one disturbance. Ruled out: faults of backend servers that outlast their time (limits full, nothing in flight).

--- a/src/jasminelatch/call/dispatcher.cpp
+++ b/src/jasminelatch/call/dispatcher.cpp
@@ -133,7 +133,7 @@
     }
     picker_->finished(from, internal::toPickerResult(answer), answer.pressure);
     if (answer.pressure) {
-        hooks_.pressure(running->job.attempt.service, from, *answer.pressure);
+        hooks_.pressure(running->job.attempt, from, *answer.pressure);
     }
     if (!internal::isFailure(answer)) {
         finish(running->job.id, internal::toResult(answer));
--- a/src/jasminelatch/call/dispatcher.hpp
+++ b/src/jasminelatch/call/dispatcher.hpp
@@ -46,7 +46,7 @@
         std::function<void(const NodeAddress &to, const RequestId &attempt)> cancel; /*!< Withdraws an attempt. */
         std::function<void(const RequestId &job, JobResult)> done; /*!< A job has ended; called once for each. */
         /*! Takes in the load report on an answer. */
-        std::function<void(const ServiceName &, const NodeAddress &, const admission::Pressure &)> pressure;
+        std::function<void(const Attempt &, const NodeAddress &, const admission::Pressure &)> pressure;
     };
 
     /**
--- a/src/jasminelatch/node/request_path.cpp
+++ b/src/jasminelatch/node/request_path.cpp
@@ -323,10 +323,14 @@
     hooks.done = [this](const RequestId &id, call::JobResult result) {
         onJobDone(id, std::move(result));
     };
-    hooks.pressure = [this](const ServiceName &service, const NodeAddress &node, const admission::Pressure &pressure) {
-        gate_.report(service, node, pressure);
-        executor_.admission().reportDownstream(service, gate_.pressure(service));
-    };
+    hooks.pressure =
+        [this](const call::Attempt &attempt, const NodeAddress &node, const admission::Pressure &pressure) {
+            gate_.report(attempt.service, node, pressure);
+            if (attempt.depth > 0) {
+                // Only what the backend server beside this node calls lies downstream of it.
+                executor_.admission().reportDownstream(attempt.service, gate_.pressure(attempt.service));
+            }
+        };
     return hooks;
 }
 
