Monitor: a peer that hears nothing makes the other end reopen its connection

Cause: answers go out on the answering node's own connection. When that one is silent and the node asks the other nothing itself, it never notices, and the other's new connections don't help.

--- a/src/jasminelatch/connection/message.hpp
+++ b/src/jasminelatch/connection/message.hpp
@@ -19,9 +19,10 @@
 struct Ping {
     static constexpr std::string_view type = "connection.ping";
     std::uint64_t sequence{}; /*!< Number of the heartbeat at its sender. */
+    bool afterSilence{}; /*!< Earlier heartbeats went unanswered: perhaps the receiver's own connection is silent. */
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Ping, sequence)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Ping, sequence, afterSilence)
 
 /*! @brief Answer to a heartbeat. */
 struct Pong {
--- a/src/jasminelatch/connection/monitor.cpp
+++ b/src/jasminelatch/connection/monitor.cpp
@@ -96,7 +96,7 @@
 {
     heard(from);
     if (const auto *ping = std::get_if<Ping>(&message)) {
-        hooks_.send(from, Pong{ping->sequence, cache_->incarnation()});
+        onPing(from, *ping);
         return;
     }
     if (const auto *pong = std::get_if<Pong>(&message)) {
@@ -145,6 +145,18 @@
     return position->second;
 }
 
+auto Monitor::onPing(const NodeAddress &from, const Ping &ping) -> void
+{
+    const auto known = peers_.find(from);
+    const auto isWatched = known != peers_.end() && isInUse(known->second);
+    if (ping.afterSilence && !isWatched) {
+        // Answers go out on this node's own connection, which nobody else watches.
+        counters_->add("connection.reopened_for_peer");
+        hooks_.reopen(from);
+    }
+    hooks_.send(from, Pong{ping.sequence, cache_->incarnation()});
+}
+
 auto Monitor::onPong(const NodeAddress &from, const Pong &pong) -> void
 {
     const auto known = peers_.find(from);
@@ -161,6 +173,7 @@
     }
     peer.unanswered.erase(peer.unanswered.begin(), heartbeat + 1);
     peer.confirmed = true;
+    peer.afterSilence = false;
     const auto isRestart = peer.incarnation != 0 && peer.incarnation != pong.incarnation;
     peer.incarnation = pong.incarnation;
     if (isRestart) {
@@ -245,6 +258,7 @@
     if (!peer.unanswered.empty() && now - peer.unanswered.front().sentAt >= settings_.silentAfter) {
         const auto isOneWay = now - peer.heardAt < settings_.silentAfter;
         counters_->add(isOneWay ? "connection.silent_one_way" : "connection.silent");
+        peer.afterSilence = true;
         startReopening(address, peer);
         return;
     }
@@ -301,7 +315,7 @@
     ++sequence_;
     peer.heartbeatAt = clock_->now();
     peer.unanswered.push_back({sequence_, clock_->now()});
-    hooks_.send(address, Ping{sequence_});
+    hooks_.send(address, Ping{sequence_, peer.afterSilence});
 }
 
 auto Monitor::query(const NodeAddress &address, Peer &peer) -> void
--- a/src/jasminelatch/connection/monitor.hpp
+++ b/src/jasminelatch/connection/monitor.hpp
@@ -142,6 +142,7 @@
     struct Peer {
         Link link{Link::Open};
         bool confirmed{};
+        bool afterSilence{};
         Incarnation incarnation{};
         std::deque<Heartbeat> unanswered;
         TimePoint heartbeatAt;
@@ -154,6 +155,7 @@
     };
 
     auto peerFor(const NodeAddress &address) -> Peer &;
+    auto onPing(const NodeAddress &from, const Ping &ping) -> void;
     auto onPong(const NodeAddress &from, const Pong &pong) -> void;
     auto onProof(Peer &peer, TimePoint sentAt) -> void;
     auto onReport(const NodeAddress &from, const AnswerReport &report) -> void;
