Admission: the deviation of service times fades like their mean

Cause: after slow runs the mean halves each second without completions, its deviation never did; an instance whose margin passed every deadline refused all work as too short, so that no completion could lower the margin again. Ruled out: lasting slowness of the backend server (factor 1, nothing running).

--- a/src/jasminelatch/admission/controller.hpp
+++ b/src/jasminelatch/admission/controller.hpp
@@ -143,6 +143,7 @@
     [[nodiscard]] auto isHopelessAfter(const Item &item, Duration wait) const -> bool;
     [[nodiscard]] auto waitAfter(std::size_t ahead) const -> Duration;
     [[nodiscard]] auto serviceTime() const -> Duration;
+    [[nodiscard]] auto faded(Duration estimate) const -> Duration;
     [[nodiscard]] auto retryAfter() const -> Duration;
 
     Settings settings_;
