--- a/test/jasminelatch/node/core.cpp
+++ b/test/jasminelatch/node/core.cpp
@@ -12,6 +12,7 @@
 
 constexpr Duration joinTime = 15s;
 constexpr Duration recoveryTime = 45s;
+constexpr Duration reclaimDelay = 15s;
 
 struct Served {
     std::size_t whole{};
@@ -159,6 +160,7 @@
     for (Duration at{}; at < faultTime; at += std::chrono::milliseconds{200 + fleet.below(1200)}) {
         fleet.after(at, [&fleet] { disturb(fleet); });
     }
+    fleet.after(faultTime + reclaimDelay, [&fleet] { fleet.reclaimLeases(); });
     fleet.run(faultTime + recoveryTime);
     const auto since = fleet.now();
     fleet.load(5s, 8, 1);
