--- a/test/jasminelatch/node/core.cpp
+++ b/test/jasminelatch/node/core.cpp
@@ -173,6 +173,19 @@
     EXPECT_EQ(fleet.heldAtExit(), 0U) << "leases held by a node that left";
 }
 
+/*! @brief Returns the fixed seeds, or for longer trials `FLEET_RUNS` seeds from `FLEET_SEED` on. */
+auto seeds() -> std::vector<std::uint64_t>
+{
+    const auto *first = std::getenv("FLEET_SEED");
+    const auto *count = std::getenv("FLEET_RUNS");
+    if (first == nullptr || count == nullptr) {
+        return {100, 101, 102, 103, 106, 107, 108, 109, 110, 111};
+    }
+    std::vector<std::uint64_t> seeds(std::strtoull(count, nullptr, 10));
+    std::iota(seeds.begin(), seeds.end(), std::strtoull(first, nullptr, 10));
+    return seeds;
+}
+
 } // namespace internal
 
 TEST(Core, QuietFleetServesEverything)
@@ -190,15 +203,21 @@
     EXPECT_GT(result.whole, 200U);
 }
 
-TEST(Core, RandomFaultsBreakNoPromise)
+class CoreFaults: public testing::TestWithParam<std::uint64_t>
 {
-    const auto *first = std::getenv("FLEET_SEED");
-    const auto *count = std::getenv("FLEET_RUNS");
-    const auto begin = first == nullptr ? std::uint64_t{100} : std::strtoull(first, nullptr, 10);
-    const auto runs = count == nullptr ? std::uint64_t{4} : std::strtoull(count, nullptr, 10);
-    for (auto seed = begin; seed < begin + runs; ++seed) {
-        internal::runFaults(seed);
-    }
+};
+
+TEST_P(CoreFaults, BreakNoPromise)
+{
+    internal::runFaults(GetParam());
+}
+
+// Each of the first five found at least one fault.
+INSTANTIATE_TEST_SUITE_P(Seeds, CoreFaults, testing::ValuesIn(internal::seeds()), testing::PrintToStringParamName());
+
+TEST(Core, RightIsTakenAgainAfterItsHolderAndSuccessorRestart)
+{
+    internal::runFaults(105);
 }
 
 } // namespace jasminelatch::node
