Admission: the spread of the service time fades like its mean

Cause: after a slow spell nothing is admitted that has less time left than the mean plus three deviations. The mean halves each second without completions, the deviation stayed for good, so callers with short timeouts were refused for ever: no completion, nothing learnt, level lowered by each refusal, gate closed at the entry. Ruled out: the concurrency limit (13 to 24 at every node), a full queue or requests stuck (0 in flight, 0 queued). Controller.TakesShortRequestsAgainAfterASlowSpell fails on the old code.

--- a/src/jasminelatch/admission/controller.cpp
+++ b/src/jasminelatch/admission/controller.cpp
@@ -252,7 +252,8 @@
     const auto estimate = serviceTime();
     const auto error = completion.latency - estimate;
     serviceTime_ = estimate + error / serviceTimeMemory;
-    deviation_ += (std::chrono::abs(error) - deviation_) / serviceTimeMemory;
+    const auto spread = deviation();
+    deviation_ = spread + (std::chrono::abs(error) - spread) / serviceTimeMemory;
     serviceTimeAt_ = clock_->now();
 }
 
@@ -306,7 +307,7 @@
 
 auto Controller::isHopelessAfter(const Item &item, const Duration wait) const -> bool
 {
-    return clock_->now() + wait + serviceTime() + deviationMargin * deviation_ > item.deadline;
+    return clock_->now() + wait + serviceTime() + deviationMargin * deviation() > item.deadline;
 }
 
 auto Controller::waitAfter(const std::size_t ahead) const -> Duration
@@ -315,11 +316,21 @@
 }
 
 auto Controller::serviceTime() const -> Duration
+{
+    return faded(serviceTime_);
+}
+
+auto Controller::deviation() const -> Duration
+{
+    return faded(deviation_);
+}
+
+auto Controller::faded(const Duration estimate) const -> Duration
 {
     const auto age = static_cast<double>((clock_->now() - serviceTimeAt_).count());
     const auto halfLife = static_cast<double>(settings_.serviceTimeHalfLife.count());
     const auto factor = std::exp2(-std::floor(age / halfLife));
-    return Duration{static_cast<Duration::rep>(static_cast<double>(serviceTime_.count()) * factor)};
+    return Duration{static_cast<Duration::rep>(static_cast<double>(estimate.count()) * factor)};
 }
 
 auto Controller::retryAfter() const -> Duration
--- a/src/jasminelatch/admission/controller.hpp
+++ b/src/jasminelatch/admission/controller.hpp
@@ -143,6 +143,9 @@
     [[nodiscard]] auto isHopelessAfter(const Item &item, Duration wait) const -> bool;
     [[nodiscard]] auto waitAfter(std::size_t ahead) const -> Duration;
     [[nodiscard]] auto serviceTime() const -> Duration;
+    [[nodiscard]] auto deviation() const -> Duration;
+    /*! @brief Halves an estimate for each half-life without completions, so that a slow spell is forgotten. */
+    [[nodiscard]] auto faded(Duration estimate) const -> Duration;
     [[nodiscard]] auto retryAfter() const -> Duration;
 
     Settings settings_;
--- a/test/jasminelatch/admission/controller.cpp
+++ b/test/jasminelatch/admission/controller.cpp
@@ -170,6 +170,22 @@
     bench.check();
 }
 
+TEST(Controller, TakesShortRequestsAgainAfterASlowSpell)
+{
+    Bench bench{Settings{}};
+    bench.controller->setCapacity(1, 10, membership::EndpointState::Ready);
+    for (int request = 0; request < 30; ++request) {
+        bench.submit(0, 0, 60s);
+        const auto latency = request % 2 == 0 ? 100ms : 2000ms;
+        bench.clock.advance(latency);
+        bench.endOne(0, Result::Ok, latency);
+    }
+    bench.clock.advance(20s);
+    bench.controller->tick();
+    bench.submit(0, 0, 500ms);
+    EXPECT_EQ(bench.running.size(), 1U) << "a spread of long ago still refuses what would be in time";
+}
+
 TEST(Controller, RefusesLateWorkWithAReasonOfItsOwn)
 {
     Bench bench{Settings{}};
