--- a/src/jasminelatch/admission/controller.cpp
+++ b/src/jasminelatch/admission/controller.cpp
@@ -252,8 +252,8 @@
     const auto estimate = serviceTime();
     const auto error = completion.latency - estimate;
     serviceTime_ = estimate + error / serviceTimeMemory;
-    const auto deviation = faded(deviation_);
-    deviation_ = deviation + (std::chrono::abs(error) - deviation) / serviceTimeMemory;
+    const auto spread = deviation();
+    deviation_ = spread + (std::chrono::abs(error) - spread) / serviceTimeMemory;
     serviceTimeAt_ = clock_->now();
 }
 
@@ -307,7 +307,7 @@
 
 auto Controller::isHopelessAfter(const Item &item, const Duration wait) const -> bool
 {
-    return clock_->now() + wait + serviceTime() + deviationMargin * faded(deviation_) > item.deadline;
+    return clock_->now() + wait + serviceTime() + deviationMargin * deviation() > item.deadline;
 }
 
 auto Controller::waitAfter(const std::size_t ahead) const -> Duration
@@ -320,6 +320,11 @@
     return faded(serviceTime_);
 }
 
+auto Controller::deviation() const -> Duration
+{
+    return faded(deviation_);
+}
+
 auto Controller::faded(const Duration estimate) const -> Duration
 {
     const auto age = static_cast<double>((clock_->now() - serviceTimeAt_).count());
