--- a/src/jasminelatch/load/arrivals.cpp
+++ b/src/jasminelatch/load/arrivals.cpp
@@ -26,7 +26,7 @@
         std::seed_seq sequence{seed, ++offset};
         Source source{&load, std::mt19937_64{sequence}, Duration::zero(), internal::peakRate(scenario, load)};
         advance(source);
-        sources_.push_back(std::move(source));
+        sources_.push_back(source);
     }
 }
 
