--- a/test/jasminelatch/load/token_bucket.cpp
+++ b/test/jasminelatch/load/token_bucket.cpp
@@ -21,7 +21,8 @@
             tightest = std::min(tightest, 4.0 + 5.0 * window - static_cast<double>(granted.size() - first));
         }
         const auto taken = bucket.take(at);
-        RC_ASSERT(taken ? tightest > 1.0 - 1e-9 : tightest < 1.0 + 1e-9);
+        const auto isExact = taken ? tightest > 1.0 - 1e-9 : tightest < 1.0 + 1e-9;
+        RC_ASSERT(isExact);
         if (taken) {
             granted.push_back(at);
         }
