--- a/src/jasminelatch/admission/controller.cpp
+++ b/src/jasminelatch/admission/controller.cpp
@@ -16,10 +16,6 @@
 /*! @brief Smallest and largest share of the arrivals that one lowering of the level cuts. */
 constexpr double weakestLevelCut = 0.05;
 constexpr double strongestLevelCut = 0.3;
-/*! @brief Arrivals that a lowering of the level rests on. */
-constexpr std::uint64_t fewestArrivals = 10;
-/*! @brief Intervals after which it rests on fewer. */
-constexpr int longestPressureInterval = 10;
 /*! @brief Rise of the openness for each interval, with the limit in use and with room to spare. */
 constexpr double slowRise = 0.05;
 constexpr double fastRise = 0.2;
@@ -269,12 +265,7 @@
     for (const auto count : arrivals_) {
         arrivals += count;
     }
-    const auto isOverloaded = overloadRefusals_ > 0 || longestWait_ > std::max(settings_.targetWait, serviceTime());
-    const auto isLong = clock_->now() - levelAt_ >= settings_.pressureInterval * longestPressureInterval;
-    if (isOverloaded && arrivals < fewestArrivals && !isLong) {
-        return;
-    }
-    if (isOverloaded) {
+    if (overloadRefusals_ > 0 || longestWait_ > settings_.targetWait) {
         const auto refused =
             static_cast<double>(overloadRefusals_) / static_cast<double>(std::max<std::uint64_t>(1, arrivals));
         lowerOpenness(std::clamp(refused, weakestLevelCut, strongestLevelCut) * static_cast<double>(arrivals));
