Lease: a contender wakes the restarted nodes that a record names

Ruled out: taking over by a third node, which can't know the promises given. Now a contender that sees the record unrenewed for its time to live tells both named addresses; a process there reads the record and takes it in a new term. Before: LeaseController.ContenderWakesRestartedNodesThatTheRecordNames held nothing after 60 s without the message; after: held within 25 s. Conclusion: the right rests only while both addresses stay empty.

--- a/src/jasminelatch/lease/lease_controller.cpp
+++ b/src/jasminelatch/lease/lease_controller.cpp
@@ -167,6 +167,14 @@
     }
 }
 
+auto LeaseController::handle(const NodeAddress &, const Orphaned &message) -> void
+{
+    auto &state = states_[message.right];
+    if (!state.record || state.record->term <= message.term) {
+        state.readNow = true;
+    }
+}
+
 auto LeaseController::noteLapse(const RightName &right, State &state) -> void
 {
     if (state.holding && clock_->now() >= state.supportUntil(settings_.promisesEnabled)) {
--- a/src/jasminelatch/lease/lease_controller.hpp
+++ b/src/jasminelatch/lease/lease_controller.hpp
@@ -126,6 +126,7 @@
     auto handle(const NodeAddress &from, const PromiseRequest &request) -> void;
     auto handle(const NodeAddress &from, const PromiseAnswer &answer) -> void;
     auto handle(const NodeAddress &from, const Released &message) -> void;
+    auto handle(const NodeAddress &from, const Orphaned &message) -> void;
 
     auto noteLapse(const RightName &right, State &state) -> void;
     auto lose(const RightName &right, State &state) -> void;
@@ -145,6 +146,8 @@
 
     [[nodiscard]] auto acquirable(const State &state) const -> std::optional<AcquisitionKind>;
     [[nodiscard]] auto mayTakeReleased(const State &state) const -> bool;
+    auto wakeNamedNodes(const RightName &right, const State &state) -> void;
+    [[nodiscard]] auto hasLapsed(const State &state) const -> bool;
     [[nodiscard]] auto mayTakeOver(const State &state) const -> bool;
     [[nodiscard]] auto mayPromise(const State &state, const PromiseRequest &request) const -> bool;
     [[nodiscard]] auto isOwnRecord(const State &state) const -> bool;
--- a/src/jasminelatch/lease/lease_controller_store.cpp
+++ b/src/jasminelatch/lease/lease_controller_store.cpp
@@ -192,7 +192,27 @@
     state.giveUp = false;
     if (const auto kind = acquirable(state)) {
         acquire(right, state, *kind);
+        return;
+    }
+    wakeNamedNodes(right, state);
+}
+
+auto LeaseController::wakeNamedNodes(const RightName &right, const State &state) -> void
+{
+    if (!state.contending || !state.record || state.record->released || !hasLapsed(state)) {
+        return;
     }
+    counters_->add("lease.orphaned_seen");
+    for (const auto &node : {state.record->holder, state.record->successor}) {
+        if (!node.empty() && node != self_) {
+            hooks_.send(node, Orphaned{right, state.record->term});
+        }
+    }
+}
+
+auto LeaseController::hasLapsed(const State &state) const -> bool
+{
+    return clock_->now() >= state.observedSince + withDrift(settings_, settings_.storeLeaseTtl);
 }
 
 auto LeaseController::renew(const RightName &right, State &state) -> void
@@ -267,8 +287,7 @@
 auto LeaseController::mayTakeOver(const State &state) const -> bool
 {
     const auto now = clock_->now();
-    const auto lapsed = now >= state.observedSince + withDrift(settings_, settings_.storeLeaseTtl);
-    if (state.record->successor != self_ || !lapsed) {
+    if (state.record->successor != self_ || !hasLapsed(state)) {
         return false;
     }
     if (!settings_.promisesEnabled) {
--- a/src/jasminelatch/lease/message.hpp
+++ b/src/jasminelatch/lease/message.hpp
@@ -41,12 +41,21 @@
     std::uint64_t term{}; /*!< Term that ended. */
 };
 
+/*! @brief Contender to the nodes that a record names: nobody renews the record, so read it. */
+struct Orphaned {
+    static constexpr std::string_view type = "lease.orphaned";
+
+    RightName right; /*!< The right. */
+    std::uint64_t term{}; /*!< Term of the record. */
+};
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseRequest, right, term, incarnation, sequence, validity)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseAnswer, right, incarnation, sequence, promised)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Released, right, term)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Orphaned, right, term)
 
 /*! @brief Any message between lease controllers. */
-using Message = std::variant<PromiseRequest, PromiseAnswer, Released>;
+using Message = std::variant<PromiseRequest, PromiseAnswer, Released, Orphaned>;
 
 } // namespace jasminelatch::lease
 
--- a/test/jasminelatch/lease/fleet.hpp
+++ b/test/jasminelatch/lease/fleet.hpp
@@ -26,7 +26,7 @@
         }
     }
 
-    auto start(const std::size_t index) -> void
+    auto start(const std::size_t index, const bool contends = true) -> void
     {
         LeaseController::Hooks hooks;
         hooks.store = world.storeHook(index);
@@ -41,7 +41,9 @@
         };
         nodes_[index] = std::make_unique<LeaseController>(
             settings_, address(index), ++incarnations_, world.clock(index), counters, std::move(hooks));
-        nodes_[index]->contend(right);
+        if (contends) {
+            nodes_[index]->contend(right);
+        }
     }
 
     auto stop(const std::size_t index) -> void
--- a/test/jasminelatch/lease/lease_controller.cpp
+++ b/test/jasminelatch/lease/lease_controller.cpp
@@ -213,6 +213,20 @@
     EXPECT_GT(fleet.node(holder).term(fleet.right), term);
 }
 
+TEST(LeaseController, ContenderWakesRestartedNodesThatTheRecordNames)
+{
+    Fleet fleet{1, 4, {}, {}};
+    fleet.run(10s);
+    const auto holder = fleet.holders().at(0);
+    const auto successor = fleet.successorOf(holder);
+    for (const auto index : {holder, successor}) {
+        fleet.stop(index);
+        fleet.start(index, false);
+    }
+    EXPECT_LT(fleet.runUntilHeld(60s), 25s);
+    EXPECT_EQ(fleet.mostHolders, 1U);
+}
+
 TEST(LeaseController, RestsWithHolderAndSuccessorGoneUntilReclaimed)
 {
     Fleet fleet{1, 4, {}, {}};
