--- a/src/jasminelatch/load/runner.hpp
+++ b/src/jasminelatch/load/runner.hpp
@@ -93,7 +93,7 @@
     auto begin(const Arrival &arrival) -> void;
     auto attempt(std::size_t number) -> void;
     auto onEnd(std::size_t number, const net::HttpResult &result) -> void;
-    auto repeatDelay(const Request &request, const net::HttpResult &result, Duration at) const
+    [[nodiscard]] auto repeatDelay(const Request &request, const net::HttpResult &result, Duration at) const
         -> std::optional<Duration>;
     auto runDueSteps() -> void;
     auto schedule(Duration at, std::function<void()> action) -> void;
