--- a/src/jasminelatch/node/request_path.cpp
+++ b/src/jasminelatch/node/request_path.cpp
@@ -323,14 +323,15 @@
     hooks.done = [this](const RequestId &id, call::JobResult result) {
         onJobDone(id, std::move(result));
     };
-    hooks.pressure = [this](const call::Attempt &attempt, const NodeAddress &node, const admission::Pressure &pressure) {
-        gate_.report(attempt.service, node, pressure);
-        // Only what the backend server beside this node calls bounds its own openness: services that this node merely
-        // enters callers at would pass their level to every service, and round in a circle.
-        if (attempt.depth > 0) {
-            executor_.admission().reportDownstream(attempt.service, gate_.pressure(attempt.service));
-        }
-    };
+    hooks.pressure =
+        [this](const call::Attempt &attempt, const NodeAddress &node, const admission::Pressure &pressure) {
+            gate_.report(attempt.service, node, pressure);
+            // Only what the backend server beside this node calls bounds its own openness: services that this node
+            // merely enters callers at would pass their level to every service, and round in a circle.
+            if (attempt.depth > 0) {
+                executor_.admission().reportDownstream(attempt.service, gate_.pressure(attempt.service));
+            }
+        };
     return hooks;
 }
 
