--- a/src/jasminelatch/core/clock.cpp
+++ b/src/jasminelatch/core/clock.cpp
@@ -2,6 +2,12 @@
 
 namespace jasminelatch {
 
+namespace internal {
+
+constexpr Clock::time_point pausedStart{std::chrono::hours{1}};
+
+} // namespace internal
+
 auto Clock::now() const -> time_point
 {
     if (paused_) {
@@ -13,7 +19,7 @@
 
 auto Clock::pause() -> void
 {
-    paused_ = now();
+    paused_ = internal::pausedStart;
 }
 
 auto Clock::advance(const Duration step) -> void
--- a/src/jasminelatch/core/clock.hpp
+++ b/src/jasminelatch/core/clock.hpp
@@ -30,7 +30,7 @@
      */
     [[nodiscard]] auto now() const -> time_point;
 
-    /*! @brief Stops the clock at the present time; it then moves only by `advance`. */
+    /*! @brief Stops the clock at a fixed point, the same in every process; it then moves only by `advance`. */
     auto pause() -> void;
 
     /**
--- a/src/jasminelatch/filter/basic.cpp
+++ b/src/jasminelatch/filter/basic.cpp
@@ -12,6 +12,7 @@
 namespace internal {
 
 constexpr std::size_t longestPath = 2048;
+constexpr Duration noRecordsRetryAfter = std::chrono::seconds{1};
 
 auto serviceOf(const std::string_view path) -> std::string_view
 {
@@ -68,7 +69,9 @@
                 exchange.path = internal::below(exchange.request.path, service);
                 exchange.kind = exchange.view->findKind(exchange.request.method, ServiceName{service}, exchange.path);
                 if (exchange.kind == nullptr) {
-                    return refuse(RefusalReason::UnknownRoute);
+                    const auto hasRecords = exchange.view->revision() > 0;
+                    return hasRecords ? refuse(RefusalReason::UnknownRoute)
+                                      : refuse(RefusalReason::ConfigurationStale, internal::noRecordsRetryAfter);
                 }
                 exchange.importance = exchange.kind->importance;
                 return pass();
--- a/src/jasminelatch/node/request_path.cpp
+++ b/src/jasminelatch/node/request_path.cpp
@@ -104,8 +104,8 @@
             filter::routeFilter(),
             filter::authenticationFilter(std::move(authentication)),
             filter::deadlineFilter(*clock_),
-            rateFilter(),
             gateFilter(),
+            rateFilter(),
             orderFilter()};
 }
 
