--- a/src/jasminelatch/admission/controller.cpp
+++ b/src/jasminelatch/admission/controller.cpp
@@ -86,7 +86,7 @@
 
 auto Controller::reportDownstream(const ServiceName &service, const Pressure &pressure) -> void
 {
-    downstream_.insert_or_assign(service, DownstreamReport{pressure, clock_->now()});
+    downstream_.insert_or_assign(service, DownstreamReport{pressure, clock_->now() - pressure.age});
 }
 
 auto Controller::tick() -> void
@@ -107,8 +107,10 @@
     Pressure pressure;
     auto strictest = openness_;
     for (const auto &[service, report] : downstream_) {
-        if (clock_->now() - report.at < settings_.downstreamStaleAfter) {
-            strictest = std::min(strictest, openness(report.pressure));
+        const auto age = clock_->now() - report.at;
+        if (age < settings_.downstreamStaleAfter && openness(report.pressure) < strictest) {
+            strictest = openness(report.pressure);
+            pressure.age = age;
         }
     }
     setOpenness(pressure, strictest);
--- a/src/jasminelatch/admission/pressure.hpp
+++ b/src/jasminelatch/admission/pressure.hpp
@@ -22,11 +22,12 @@
     std::uint32_t limit{1}; /*!< Concurrency limit. */
     std::uint32_t queued{}; /*!< Requests waiting. */
     Duration expectedWait{}; /*!< Time that a new request would wait, in microseconds. */
+    Duration age{}; /*!< Age of what sets the level, in microseconds: it grows while it is passed on along a chain. */
 
     auto operator==(const Pressure &) const -> bool = default;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Pressure, level, fraction, inFlight, limit, queued, expectedWait)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Pressure, level, fraction, inFlight, limit, queued, expectedWait, age)
 
 /**
  * @brief Returns how much a pressure admits, as one number.
--- a/src/jasminelatch/admission/upstream_gate.cpp
+++ b/src/jasminelatch/admission/upstream_gate.cpp
@@ -26,7 +26,7 @@
 
 auto UpstreamGate::report(const ServiceName &service, const NodeAddress &instance, const Pressure &pressure) -> void
 {
-    services_[service].reports.insert_or_assign(instance, Report{pressure, clock_->now()});
+    services_[service].reports.insert_or_assign(instance, Report{pressure, clock_->now() - pressure.age});
 }
 
 auto UpstreamGate::decide(const ServiceName &service, const record::Importance importance, const AccountName &account)
@@ -129,11 +129,14 @@
     Pressure sum;
     sum.limit = 0;
     auto closedness = 0.0;
+    auto closednessAge = 0.0;
     auto wait = 0.0;
     for (const auto &[node, report] : service.reports) {
         const auto &each = report.pressure;
         const auto share = weight(report) * each.limit;
-        closedness += share * (static_cast<double>(importanceCount) - openness(each));
+        const auto closed = share * (static_cast<double>(importanceCount) - openness(each));
+        closedness += closed;
+        closednessAge += closed * static_cast<double>((clock_->now() - report.at).count());
         wait += share * static_cast<double>(each.expectedWait.count());
         sum.inFlight += each.inFlight;
         sum.queued += each.queued;
@@ -144,6 +147,9 @@
     }
     setOpenness(sum, static_cast<double>(importanceCount) - closedness / sum.limit);
     sum.expectedWait = Duration{static_cast<Duration::rep>(wait / sum.limit)};
+    if (closedness > 0) {
+        sum.age = Duration{static_cast<Duration::rep>(closednessAge / closedness)};
+    }
     return sum;
 }
 
--- a/src/programs/jasminelatch-backend/main.cpp
+++ b/src/programs/jasminelatch-backend/main.cpp
@@ -15,7 +15,9 @@
     const auto &stopRequested = program::installStopSignals();
     standin::BackendServer server{settings};
     return program::runServer([&]() -> boost::leaf::result<program::ExitCode> {
-        BOOST_LEAF_CHECK(server.open());
+        if (auto opened = server.open(); !opened) {
+            return opened.error();
+        }
         server.run(stopRequested);
         return program::ExitCode::Ok;
     });
--- a/src/programs/jasminelatch-node/main.cpp
+++ b/src/programs/jasminelatch-node/main.cpp
@@ -17,7 +17,9 @@
     const auto &stopRequested = program::installStopSignals();
     node::Runtime runtime{settings};
     return program::runServer([&]() -> boost::leaf::result<program::ExitCode> {
-        BOOST_LEAF_CHECK(runtime.open());
+        if (auto opened = runtime.open(); !opened) {
+            return opened.error();
+        }
         return runtime.run(stopRequested) ? program::ExitCode::Ok : program::ExitCode::CutOff;
     });
 }
--- a/src/programs/jasminelatch-store/main.cpp
+++ b/src/programs/jasminelatch-store/main.cpp
@@ -17,7 +17,9 @@
     const auto &stopRequested = program::installStopSignals();
     jasminelatch::standin::StoreServer server;
     return program::runServer([&]() -> boost::leaf::result<program::ExitCode> {
-        BOOST_LEAF_CHECK(server.open(port));
+        if (auto opened = server.open(port); !opened) {
+            return opened.error();
+        }
         while (!stopRequested) {
             server.tick();
             std::this_thread::sleep_for(tickInterval);
--- a/test/jasminelatch/admission/upstream_gate.cpp
+++ b/test/jasminelatch/admission/upstream_gate.cpp
@@ -1,3 +1,4 @@
+#include <jasminelatch/admission/controller.hpp>
 #include <jasminelatch/admission/fair_share.hpp>
 #include <jasminelatch/admission/upstream_gate.hpp>
 
@@ -5,7 +6,9 @@
 #include <rapidcheck/gtest.h>
 
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace std::chrono_literals;
 
@@ -107,6 +110,35 @@
     EXPECT_GT(bench.offer(3, {10}, std::nullopt)[0], 9.999);
 }
 
+TEST(UpstreamGate, LevelGoesStaleHoweverOftenItIsPassedAlongAChain)
+{
+    constexpr std::size_t hops = 4;
+    Bench deepest{1};
+    deepest.report(0.5);
+    std::vector<std::unique_ptr<UpstreamGate>> gates;
+    std::vector<std::unique_ptr<Controller>> controllers;
+    for (std::size_t hop = 0; hop < hops; ++hop) {
+        gates.push_back(
+            std::make_unique<UpstreamGate>(GateSettings{}, deepest.clock, deepest.counters, std::mt19937_64{hop}));
+        controllers.push_back(
+            std::make_unique<Controller>(Settings{}, deepest.clock, deepest.counters, Controller::Hooks{}));
+    }
+    const auto passOn = [&] {
+        for (std::size_t hop = 0; hop < hops; ++hop) {
+            const auto &below = hop == 0 ? *deepest.gate : *gates[hop - 1];
+            controllers[hop]->reportDownstream(service, below.pressure(service));
+            gates[hop]->report(service, instance, controllers[hop]->pressure());
+        }
+    };
+    passOn();
+    EXPECT_DOUBLE_EQ(openness(gates.back()->pressure(service)), 0.5);
+    for (auto step = 0; step < 22; ++step) {
+        deepest.clock.advance(50ms);
+        passOn();
+    }
+    EXPECT_DOUBLE_EQ(openness(gates.back()->pressure(service)), 4.0);
+}
+
 TEST(UpstreamGate, WeighsInstancesByTheirLimit)
 {
     Bench bench{1};
--- a/test/jasminelatch/net/http_server.cpp
+++ b/test/jasminelatch/net/http_server.cpp
@@ -160,8 +160,8 @@
     settings.host = "not an address";
     const auto address = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<std::string> {
-            BOOST_LEAF_CHECK(HttpServer::start(settings, hooks));
-            return std::string{};
+            BOOST_LEAF_AUTO(started, HttpServer::start(settings, hooks));
+            return std::string{started == nullptr ? "nothing" : ""};
         },
         [](const ListenError &error) { return error.address; },
         [] { return std::string{"unknown"}; });
--- a/test/jasminelatch/wire/codec.cpp
+++ b/test/jasminelatch/wire/codec.cpp
@@ -34,7 +34,7 @@
     answer.status = 200;
     answer.headers["Content-Type"] = "text/plain";
     answer.body.assign({1, 2, 3});
-    answer.pressure = admission::Pressure{2, 0.5, 3, 4, 5, std::chrono::milliseconds{6}};
+    answer.pressure = admission::Pressure{2, 0.5, 3, 4, 5, std::chrono::milliseconds{6}, std::chrono::milliseconds{7}};
     const auto bytes = encode(call::Message{answer});
     Message decoded;
     ASSERT_EQ(decodeError(bytes, decoded), "");
