Leaving: claims are handed over through the store, last connections are served

Cause: a holder that left named a replica that the next holder could not reach in a rolling replacement, so unknown keys got outcome_unknown for the whole retention; reports of a leaving entry node were lost; connections waiting in the listen queue were reset at exit (process.Leaving.NodeCutsNothingOff: 3 requests lost); refusals of leaving instances used up the retry share. Now claims are committed without a replica and reports acknowledged before the leases go, handshakes are dropped while the queue runs empty, and a leaving instance is avoided at once and charges no retry share.

--- a/src/jasminelatch/call/dispatcher.cpp
+++ b/src/jasminelatch/call/dispatcher.cpp
@@ -54,6 +54,9 @@
     if (!answer.reason) {
         return answer.status >= firstServerError ? balance::Result::Failed : balance::Result::Ok;
     }
+    if (*answer.reason == RefusalReason::Leaving) {
+        return balance::Result::Silent;
+    }
     const auto isFault = *answer.reason == RefusalReason::BackendFailed || *answer.reason == RefusalReason::BackendLost
                       || *answer.reason == RefusalReason::NoBackend;
     return isFault ? balance::Result::Failed : balance::Result::Refused;
--- a/src/jasminelatch/net/http_server.cpp
+++ b/src/jasminelatch/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server.hpp"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -109,19 +110,21 @@
         answerAllUnavailable();
         waitUntilSent();
         MHD_stop_daemon(daemon_);
-        if (listener_ != MHD_INVALID_SOCKET) {
-            ::close(listener_);
-        }
     }
 
     [[nodiscard]] auto running() const -> bool { return daemon_ != nullptr; }
 
+    /*! @brief Drops new handshakes, so that the queue of opened connections runs empty instead of being reset. */
     auto stopListening() -> void
     {
-        if (!quiesced_) {
-            quiesced_ = true;
-            listener_ = MHD_quiesce_daemon(daemon_);
+        const auto *info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD);
+        if (stopped_ || info == nullptr) {
+            return;
         }
+        stopped_ = true;
+        sock_filter dropAll{BPF_RET | BPF_K, 0, 0, 0};
+        const sock_fprog program{1, &dropAll};
+        ::setsockopt(info->listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
     }
 
     auto findGoneCallers() -> void
@@ -288,8 +291,7 @@
     RequestNumber lastNumber_{};
     std::atomic<std::size_t> open_{};
     MHD_Daemon *daemon_{};
-    MHD_socket listener_{MHD_INVALID_SOCKET};
-    bool quiesced_{};
+    bool stopped_{};
 };
 
 auto HttpServer::start(const Settings &settings, Hooks hooks) -> boost::leaf::result<std::unique_ptr<HttpServer>>
--- a/src/jasminelatch/net/http_server.hpp
+++ b/src/jasminelatch/net/http_server.hpp
@@ -64,7 +64,7 @@
     /*! @brief Stops; requests without a response get status 503. */
     ~HttpServer();
 
-    /*! @brief Takes no further connections; open ones go on. */
+    /*! @brief Takes no further connections; those that callers have opened already are served. */
     auto stopListening() -> void;
 
     /*! @brief Looks for callers that left while their request waits, and reports each through `gone`. */
--- a/src/jasminelatch/node/controllers.cpp
+++ b/src/jasminelatch/node/controllers.cpp
@@ -15,6 +15,7 @@
 namespace internal {
 
 /*! @brief Time after which a lease has lapsed anyway. */
+constexpr Duration longestHandOver = std::chrono::seconds{2};
 constexpr Duration longestRelease = lease::Settings{}.storeLeaseTtl;
 
 auto quotaSettings(const Settings &settings) -> quota::Settings
@@ -288,7 +289,9 @@
     }
     if (!leftAt_) {
         followDuties();
+        return;
     }
+    releaseWhenHandedOver();
 }
 
 auto Controllers::followDuties() -> void
@@ -351,12 +354,25 @@
 {
     leftAt_ = clock_->now();
     membership_.leave();
-    lease_.releaseAll();
+    if (claimHolder_) {
+        claimHolder_->handOver();
+    }
+    releaseWhenHandedOver();
+}
+
+auto Controllers::releaseWhenHandedOver() -> void
+{
+    const auto waited = clock_->now() - *leftAt_;
+    const auto ready = !claimHolder_ || (claimHolder_->isHandedOver() && claimant_->openReports() == 0);
+    if (!released_ && (ready || waited >= internal::longestHandOver)) {
+        released_ = true;
+        lease_.releaseAll();
+    }
 }
 
 auto Controllers::hasLeft() const -> bool
 {
-    if (!leftAt_ || membership_.status() != membership::Status::Left) {
+    if (!released_ || membership_.status() != membership::Status::Left) {
         return false;
     }
     return lease_.allReleased() || clock_->now() - *leftAt_ >= internal::longestRelease;
--- a/src/jasminelatch/node/controllers.hpp
+++ b/src/jasminelatch/node/controllers.hpp
@@ -111,6 +111,7 @@
     auto startOrders(const record::Fleet &fleet) -> void;
     auto onView(const configuration::View &view) -> void;
     auto followDuties() -> void;
+    auto releaseWhenHandedOver() -> void;
 
     NodeAddress self_;
     std::uint64_t incarnation_;
@@ -128,6 +129,7 @@
     std::map<order::Shard, lease::Acquisition> acquiredShards_;
     std::set<RightName> contended_;
     std::optional<TimePoint> leftAt_;
+    bool released_{}; // Leases are being given up.
 };
 
 } // namespace jasminelatch::node
--- a/src/jasminelatch/node/runtime.cpp
+++ b/src/jasminelatch/node/runtime.cpp
@@ -17,6 +17,7 @@
 constexpr Duration storeTimeout = std::chrono::seconds{1};
 constexpr Duration longestLeave = std::chrono::seconds{15};
 constexpr auto longestLastAnswer = std::chrono::seconds{2};
+constexpr auto quietBeforeExit = std::chrono::milliseconds{200};
 constexpr long storeConnections = 16;
 constexpr long spareBackendConnections = 64;
 
@@ -239,11 +240,19 @@
 
 auto Runtime::sendLastAnswers() -> void
 {
-    const auto until = std::chrono::steady_clock::now() + internal::longestLastAnswer;
+    const auto begin = std::chrono::steady_clock::now();
+    auto quietSince = begin;
     callerDoor_->stopListening();
     localDoor_->stopListening();
-    while (callerDoor_->openCount() + localDoor_->openCount() > 0 && std::chrono::steady_clock::now() < until) {
+    while (std::chrono::steady_clock::now() < begin + internal::longestLastAnswer) {
         events_.runUntil(std::chrono::steady_clock::now() + internal::tickInterval);
+        const auto now = std::chrono::steady_clock::now();
+        if (callerDoor_->openCount() + localDoor_->openCount() > 0) {
+            quietSince = now;
+        }
+        if (now - quietSince >= internal::quietBeforeExit) {
+            return;
+        }
     }
 }
 
--- a/src/jasminelatch/order/claim_holder.cpp
+++ b/src/jasminelatch/order/claim_holder.cpp
@@ -60,6 +60,21 @@
     forgetKept();
 }
 
+auto ClaimHolder::handOver() -> void
+{
+    handingOver_ = true;
+}
+
+auto ClaimHolder::isHandedOver() const -> bool
+{
+    return std::all_of(shards_.begin(), shards_.end(), [](const auto &entry) {
+        const State &state = entry.second;
+        const auto isCommitted = state.loaded && !state.dirty && state.pending.empty() && state.pendingCall == 0
+                              && state.confirmed && state.confirmed->replica == ReplicaId{};
+        return !state.active || isCommitted;
+    });
+}
+
 auto ClaimHolder::receive(const NodeAddress &from, const Message &message) -> void
 {
     std::visit([&](const auto &content) { handle(from, content); }, message);
@@ -105,6 +120,10 @@
         counters_->add("order.delayed_ask");
         return {request.requestId, Decision::HolderUnavailable};
     }
+    if (handingOver_) {
+        counters_->add("order.handing_over");
+        return {request.requestId, Decision::HolderUnavailable};
+    }
     if (state.claims.size() >= settings_.maxClaims) {
         counters_->add("order.shard_full");
         return {request.requestId, Decision::HolderUnavailable};
--- a/src/jasminelatch/order/claim_holder.hpp
+++ b/src/jasminelatch/order/claim_holder.hpp
@@ -67,6 +67,15 @@
      */
     auto lost(Shard shard) -> void;
 
+    /*! @brief Grants no new claims any more and commits all to the store, so that the next holder needs no replica. */
+    auto handOver() -> void;
+
+    /**
+     * @brief Tells whether the store alone has everything that the next holders need.
+     * @return True when nothing is left to commit after `handOver`.
+     */
+    [[nodiscard]] auto isHandedOver() const -> bool;
+
     /*! @brief Commits, replicates and forgets what is due; to be called every 10 to 50 ms. */
     auto tick() -> void;
 
@@ -124,6 +133,7 @@
     const Clock *clock_;
     Counters *counters_;
     Hooks hooks_;
+    bool handingOver_{};
     std::uint64_t callCount_{};
     std::uint64_t messageCount_{};
     std::map<Shard, State> shards_;
--- a/src/jasminelatch/order/claim_holder_store.cpp
+++ b/src/jasminelatch/order/claim_holder_store.cpp
@@ -35,7 +35,7 @@
 
 auto ClaimHolder::desiredReplica(const Shard shard, const State &state) const -> ReplicaId
 {
-    if (!settings_.grantFromReplica) {
+    if (!settings_.grantFromReplica || handingOver_) {
         return {};
     }
     const auto successor = hooks_.successor(shard);
--- a/src/jasminelatch/order/claimant.hpp
+++ b/src/jasminelatch/order/claimant.hpp
@@ -83,6 +83,9 @@
      */
     auto receive(const NodeAddress &from, const Message &message) -> void;
 
+    /*! @brief Returns the number of reports that no holder has acknowledged. */
+    [[nodiscard]] auto openReports() const noexcept -> std::size_t { return reports_.size(); }
+
 private:
     struct PendingAsk {
         Ask ask;
--- a/src/jasminelatch/retry/asker.cpp
+++ b/src/jasminelatch/retry/asker.cpp
@@ -6,6 +6,16 @@
 
 namespace jasminelatch::retry {
 
+namespace internal {
+
+/*! @brief Tells whether a retry counts against the service's share: an instance that leaves has done no work. */
+auto chargesShare(const Reason reason) -> bool
+{
+    return reason != Reason::LeavingNotRun;
+}
+
+} // namespace internal
+
 Asker::Asker(const Settings &settings,
              NodeAddress self,
              const std::uint64_t incarnation,
@@ -34,17 +44,18 @@
         callback(need.retriesMade < settings_.copiedLimit);
         return;
     }
-    if (!share_.take(need.service, clock_->now())) {
-        finish(need.service, Verdict::ServiceShare, callback);
+    const auto charged = internal::chargesShare(need.reason);
+    if (charged && !share_.take(need.service, clock_->now())) {
+        finish(need.service, false, Verdict::ServiceShare, callback);
         return;
     }
     const Ask ask{{incarnation_, nextAsk_++}, need.request, need.reason};
     if (need.ledger == self_) {
-        finish(need.service, hooks_.decideLocally(ask), callback);
+        finish(need.service, charged, hooks_.decideLocally(ask), callback);
         return;
     }
     const auto deadline = clock_->now() + std::min(settings_.answerTimeout, need.remaining);
-    open_.emplace(ask.id.number, OpenAsk{need.ledger, need.service, deadline, std::move(callback)});
+    open_.emplace(ask.id.number, OpenAsk{need.ledger, need.service, charged, deadline, std::move(callback)});
     hooks_.send(need.ledger, ask);
 }
 
@@ -63,7 +74,7 @@
     const auto ask = std::move(position->second);
     open_.erase(position);
     const auto late = clock_->now() >= ask.deadline;
-    finish(ask.service, late ? Verdict::NoAnswer : grant->verdict, ask.callback);
+    finish(ask.service, ask.charged, late ? Verdict::NoAnswer : grant->verdict, ask.callback);
 }
 
 auto Asker::tick() -> void
@@ -77,14 +88,15 @@
     }
     std::erase_if(open_, [&](const auto &entry) { return now >= entry.second.deadline; });
     for (const auto &ask : late) {
-        finish(ask.service, Verdict::NoAnswer, ask.callback);
+        finish(ask.service, ask.charged, Verdict::NoAnswer, ask.callback);
     }
 }
 
-auto Asker::finish(const ServiceName &service, const Verdict verdict, const Callback &callback) -> void
+auto Asker::finish(const ServiceName &service, const bool charged, const Verdict verdict, const Callback &callback)
+    -> void
 {
     const auto granted = verdict == Verdict::Granted;
-    if (!granted && verdict != Verdict::ServiceShare) {
+    if (!granted && charged) {
         share_.giveBack(service);
     }
     counters_->add(std::string{granted ? "retry." : "retry.refused_"}.append(toString(verdict)));
--- a/src/jasminelatch/retry/asker.hpp
+++ b/src/jasminelatch/retry/asker.hpp
@@ -84,11 +84,12 @@
     struct OpenAsk {
         NodeAddress ledger;
         ServiceName service;
+        bool charged{};
         TimePoint deadline;
         Callback callback;
     };
 
-    auto finish(const ServiceName &service, Verdict verdict, const Callback &callback) -> void;
+    auto finish(const ServiceName &service, bool charged, Verdict verdict, const Callback &callback) -> void;
 
     Settings settings_;
     NodeAddress self_;
