--- a/src/jasminelatch/net/http_server.cpp
+++ b/src/jasminelatch/net/http_server.cpp
@@ -63,6 +63,11 @@
     return result;
 }
 
+auto unavailable() -> HttpResponse
+{
+    return {503, {{"Connection", "close"}}, {}};
+}
+
 } // namespace internal
 
 class HttpServer::Impl
@@ -222,16 +227,19 @@
     {
         if (!exchange->complete) {
             exchange->complete = true;
-            hand(exchange);
-            return MHD_YES;
+            return hand(exchange) ? MHD_YES : internal::queue(exchange->connection, internal::unavailable());
         }
         return internal::queue(exchange->connection, exchange->response);
     }
 
-    auto hand(const internal::SharedExchange &exchange) -> void
+    /*! @brief Suspends a request and hands it over; false when the server stops and must suspend nothing more. */
+    auto hand(const internal::SharedExchange &exchange) -> bool
     {
         {
             const std::lock_guard lock{mutex_};
+            if (stopping_) {
+                return false;
+            }
             exchange->number = ++lastNumber_;
             exchange->suspended = true;
             waiting_.emplace(exchange->number, exchange);
@@ -240,6 +248,7 @@
         hooks_.request(exchange->number, std::move(exchange->request), [this, exchange](HttpResponse response) {
             respond(*exchange, std::move(response));
         });
+        return true;
     }
 
     auto respond(internal::Exchange &exchange, HttpResponse response) -> void
@@ -275,12 +284,13 @@
         std::vector<internal::SharedExchange> left;
         {
             const std::lock_guard lock{mutex_};
+            stopping_ = true;
             for (const auto &[number, exchange] : waiting_) {
                 left.push_back(exchange);
             }
         }
         for (const auto &exchange : left) {
-            respond(*exchange, {503, {{"Connection", "close"}}, {}});
+            respond(*exchange, internal::unavailable());
         }
     }
 
@@ -292,6 +302,7 @@
     std::atomic<std::size_t> open_{};
     MHD_Daemon *daemon_{};
     bool stopped_{};
+    bool stopping_{};
 };
 
 auto HttpServer::start(const Settings &settings, Hooks hooks) -> boost::leaf::result<std::unique_ptr<HttpServer>>
--- a/src/jasminelatch/node/request_path.cpp
+++ b/src/jasminelatch/node/request_path.cpp
@@ -14,7 +14,6 @@
 namespace internal {
 
 constexpr Duration leavingRetryAfter = std::chrono::seconds{1};
-constexpr std::size_t longestIdempotencyKey = 200;
 
 auto admissionSettings(const Settings &settings) -> admission::Settings
 {
@@ -141,113 +140,6 @@
             }};
 }
 
-auto RequestPath::orderFilter() -> filter::Filter
-{
-    return {"order", [this](call::Exchange &exchange, const filter::Resume &resume) {
-                if (exchange.kind->idempotent) {
-                    return filter::pass();
-                }
-                const std::string key{net::header(exchange.request.headers, filter::idempotencyField)};
-                if (key.empty() && !exchange.parent.empty()) {
-                    return filter::pass();
-                }
-                if (key.empty() || key.size() > internal::longestIdempotencyKey) {
-                    return filter::refuse(RefusalReason::IdempotencyKeyMissing);
-                }
-                if (controllers_->claimant() == nullptr) {
-                    return filter::refuse(RefusalReason::OrderHolderUnavailable, internal::leavingRetryAfter);
-                }
-                claim(exchange, key, resume);
-                return filter::wait();
-            }};
-}
-
-auto RequestPath::claim(const call::Exchange &exchange, const std::string &key, const filter::Resume &resume) -> void
-{
-    const auto content =
-        exchange.request.method + " " + exchange.kind->service.text() + exchange.path + "\n" + exchange.request.body;
-    order::Ask ask{exchange.account, key, exchange.id, order::shortHash(content)};
-    controllers_->claimant()->claim(
-        std::move(ask),
-        [this, id = exchange.id, key, resume](const order::Verdict &verdict) { onClaimed(id, key, verdict, resume); });
-}
-
-auto RequestPath::onClaimed(const RequestId &id,
-                            const std::string &key,
-                            const order::Verdict &verdict,
-                            const filter::Resume &resume) -> void
-{
-    if (const auto *answer = std::get_if<order::Answer>(&verdict)) {
-        const net::HttpResponse response{answer->status, {{"Content-Type", answer->contentType}}, answer->body};
-        resume({filter::Verdict::Step::Answer, {}, response});
-        return;
-    }
-    if (const auto *refusal = std::get_if<Refusal>(&verdict)) {
-        resume({filter::Verdict::Step::Refuse, *refusal, {}});
-        return;
-    }
-    const auto position = exchanges_.find(id);
-    if (position == exchanges_.end()) {
-        controllers_->claimant()->report(id, order::ResultKind::NotRun);
-        return;
-    }
-    position->second.exchange.idempotencyKey = key;
-    const auto late = clock_->now() >= std::get<order::Grant>(verdict).dispatchBefore;
-    resume(late ? filter::refuse(RefusalReason::DeadlineExpired, internal::leavingRetryAfter) : filter::pass());
-}
-
-auto RequestPath::reportOrder(const call::Exchange &exchange, const call::JobResult &result) -> void
-{
-    if (exchange.idempotencyKey.empty()) {
-        return;
-    }
-    auto &claimant = *controllers_->claimant();
-    if (result.refusal) {
-        const auto notRun = result.refusal->outcome == Outcome::NotRun;
-        claimant.report(exchange.id, notRun ? order::ResultKind::NotRun : order::ResultKind::Unknown);
-        return;
-    }
-    const auto &response = result.response;
-    claimant.report(exchange.id,
-                    order::ResultKind::Answered,
-                    {static_cast<std::uint16_t>(response.status),
-                     std::string{net::header(response.headers, "Content-Type")},
-                     response.body});
-}
-
-auto RequestPath::onJobDone(const RequestId &id, call::JobResult result) -> void
-{
-    const auto position = exchanges_.find(id);
-    if (position == exchanges_.end()) {
-        return;
-    }
-    reportOrder(position->second.exchange, result);
-    position->second.exchange.idempotencyKey.clear();
-    result.refusal ? refuse(id, *result.refusal) : finish(id, std::move(result.response));
-}
-
-auto RequestPath::chainHooks() -> filter::Chain::Hooks
-{
-    filter::Chain::Hooks hooks;
-    hooks.find = [this](const RequestId &id) -> call::Exchange * {
-        const auto position = exchanges_.find(id);
-        return position == exchanges_.end() ? nullptr : &position->second.exchange;
-    };
-    hooks.passed = [this](call::Exchange &exchange) {
-        dispatch(exchange);
-    };
-    hooks.ended = [this](call::Exchange &exchange, const filter::Verdict &verdict) {
-        const auto id = exchange.id;
-        if (verdict.step == filter::Verdict::Step::Answer) {
-            finish(id, verdict.response);
-            return;
-        }
-        reportOrder(exchange, {verdict.refusal, {}});
-        refuse(id, verdict.refusal);
-    };
-    return hooks;
-}
-
 auto RequestPath::handle(const DoorNumber from, net::HttpRequest request) -> void
 {
     const auto id = newId();
@@ -308,81 +200,6 @@
     dispatcher_.dispatch(std::move(job));
 }
 
-auto RequestPath::dispatcherHooks() -> call::Dispatcher::Hooks
-{
-    call::Dispatcher::Hooks hooks;
-    hooks.newAttemptId = [this] {
-        return newId();
-    };
-    hooks.send = [this](const NodeAddress &to, const call::Attempt &attempt) {
-        sendAttempt(to, attempt);
-    };
-    hooks.cancel = [this](const NodeAddress &to, const RequestId &attempt) {
-        cancelAttempt(to, attempt);
-    };
-    hooks.done = [this](const RequestId &id, call::JobResult result) {
-        onJobDone(id, std::move(result));
-    };
-    hooks.pressure =
-        [this](const call::Attempt &attempt, const NodeAddress &node, const admission::Pressure &pressure) {
-            gate_.report(attempt.service, node, pressure);
-            // Only what the backend server beside this node calls bounds its own openness: services that this node
-            // merely enters callers at would pass their level to every service, and round in a circle.
-            if (attempt.depth > 0) {
-                executor_.admission().reportDownstream(attempt.service, gate_.pressure(attempt.service));
-            }
-        };
-    return hooks;
-}
-
-auto RequestPath::executorHooks() -> call::Executor::Hooks
-{
-    call::Executor::Hooks hooks;
-    hooks.callBackend = [this](const call::BackendCall &call) {
-        hooks_.callBackend(call);
-    };
-    hooks.cancelBackend = [this](const RequestId &attempt) {
-        hooks_.cancelBackend(attempt);
-    };
-    hooks.reply = [this](const NodeAddress &to, const call::Answer &answer) {
-        reply(to, answer);
-    };
-    hooks.ended = [this](const RequestId &attempt) {
-        endNested(attempt);
-    };
-    return hooks;
-}
-
-auto RequestPath::askerHooks() -> retry::Asker::Hooks
-{
-    retry::Asker::Hooks hooks;
-    hooks.send = [this](const NodeAddress &to, retry::Message message) {
-        hooks_.send(to, std::move(message));
-    };
-    hooks.decideLocally = [this](const retry::Ask &ask) {
-        return ledger_.decide(ask);
-    };
-    return hooks;
-}
-
-auto RequestPath::monitorHooks() -> connection::Monitor::Hooks
-{
-    connection::Monitor::Hooks hooks;
-    hooks.send = [this](const NodeAddress &to, const connection::Message &message) {
-        hooks_.send(to, message);
-    };
-    hooks.reopen = [this](const NodeAddress &peer) {
-        hooks_.reopen(peer);
-        peerSilent(peer);
-    };
-    hooks.outcome = [this](const RequestId &attempt, const Outcome outcome) {
-        dispatcher_.lost(attempt, outcome);
-    };
-    hooks.peerLost = [](const NodeAddress &) {
-    };
-    return hooks;
-}
-
 auto RequestPath::sendAttempt(const NodeAddress &to, const call::Attempt &attempt) -> void
 {
     auto addressed = attempt;
--- a/src/jasminelatch/quota/settings.hpp
+++ b/src/jasminelatch/quota/settings.hpp
@@ -23,7 +23,7 @@
 /*! @brief Bound on the rate error of each node's clock, as a fraction. */
 inline constexpr double defaultClockDrift = 0.001;
 /*! @brief Smallest burst of one share, in tokens; an account with less burst has fewer shares. */
-inline constexpr double defaultMinimumShareBurst = 4.0;
+inline constexpr double defaultMinimumShareBurst = 12.0;
 
 /*! @brief Settings of share holders and borrowers; the same on every node. */
 struct Settings {
--- a/test/jasminelatch/net/http_server.cpp
+++ b/test/jasminelatch/net/http_server.cpp
@@ -127,6 +127,41 @@
     EXPECT_EQ(result.get().response.status, 503);
 }
 
+TEST(HttpServer, RefusesARequestThatArrivesWhileItStops)
+{
+    constexpr std::size_t moreThanSocketsHold = std::size_t{64} << 20U;
+    const auto port = test::freePort();
+    std::atomic<bool> large{};
+    HttpServer::Hooks hooks;
+    hooks.request = [&](RequestNumber, const HttpRequest &request, const Responder &responder) {
+        if (request.path == "/large") {
+            responder({200, {}, std::string(moreThanSocketsHold, 'x')});
+            large = true;
+        }
+    };
+    hooks.gone = [](RequestNumber) {
+    };
+    auto server = startServer(port, std::move(hooks));
+    ASSERT_NE(server, nullptr);
+    const auto unread = test::connectTo(port);
+    const auto late = test::connectTo(port);
+    const std::string first{"GET /large HTTP/1.1\r\nHost: a\r\n\r\n"};
+    const std::string begun{"GET /late HTTP/1.1\r\nHost: a\r\n"};
+    EXPECT_GT(::send(unread, first.data(), first.size(), MSG_NOSIGNAL), 0);
+    EXPECT_GT(::send(late, begun.data(), begun.size(), MSG_NOSIGNAL), 0);
+    ASSERT_TRUE(waitFor([&] { return large.load(); }));
+    // The unread answer keeps the server busy while it stops.
+    auto stop = std::async(std::launch::async, [&] { server.reset(); });
+    std::this_thread::sleep_for(200ms);
+    EXPECT_GT(::send(late, "\r\n", 2, MSG_NOSIGNAL), 0);
+    stop.get();
+    std::string status(12, '\0');
+    EXPECT_EQ(::recv(late, status.data(), status.size(), MSG_WAITALL), static_cast<ssize_t>(status.size()));
+    EXPECT_EQ(status, "HTTP/1.1 503");
+    ::close(unread);
+    ::close(late);
+}
+
 TEST(HttpServer, SurvivesRubbish)
 {
     const auto port = test::freePort();
--- a/test/support/fleet_network.hpp
+++ b/test/support/fleet_network.hpp
@@ -151,7 +151,10 @@
         return std::chrono::microseconds{200 + random_() % static_cast<std::uint64_t>(longest.count())};
     }
 
-    auto isCut(const Index left, const Index right) const -> bool { return cuts_.contains(std::minmax(left, right)); }
+    [[nodiscard]] auto isCut(const Index left, const Index right) const -> bool
+    {
+        return cuts_.contains(std::minmax(left, right));
+    }
 
     auto transmit(const Index from, const Index to, Link &link, std::string bytes) -> void
     {
