Remove a count and a declaration that nothing uses

Cause: HttpServer::waitingCount lost its purpose when openCount came, and net/fwd.hpp declared a StoreClient that was never written. Behaviour is as before. Run: 208 tests outside the process suite passed; the four files linted are clean. The process suite was not run again.

--- a/src/jasminelatch/net/fwd.hpp
+++ b/src/jasminelatch/net/fwd.hpp
@@ -7,7 +7,6 @@
 class HttpClient;
 class HttpServer;
 class PeerTransport;
-class StoreClient;
 struct HttpRequest;
 struct HttpResponse;
 
--- a/src/jasminelatch/net/http_server.cpp
+++ b/src/jasminelatch/net/http_server.cpp
@@ -149,12 +149,6 @@
         }
     }
 
-    [[nodiscard]] auto waitingCount() const -> std::size_t
-    {
-        const std::lock_guard lock{mutex_};
-        return waiting_.size();
-    }
-
     [[nodiscard]] auto openCount() const -> std::size_t { return open_; }
 
 private:
@@ -296,7 +290,7 @@
 
     std::size_t maxBody_;
     Hooks hooks_;
-    mutable std::mutex mutex_;
+    std::mutex mutex_;
     std::map<RequestNumber, internal::SharedExchange> waiting_;
     RequestNumber lastNumber_{};
     std::atomic<std::size_t> open_{};
@@ -336,9 +330,4 @@
     return impl_->openCount();
 }
 
-auto HttpServer::waitingCount() const -> std::size_t
-{
-    return impl_->waitingCount();
-}
-
 } // namespace jasminelatch::net
--- a/src/jasminelatch/net/http_server.hpp
+++ b/src/jasminelatch/net/http_server.hpp
@@ -70,12 +70,6 @@
     /*! @brief Looks for callers that left while their request waits, and reports each through `gone`. */
     auto findGoneCallers() -> void;
 
-    /**
-     * @brief Counts the requests that wait for their response.
-     * @return Number of requests.
-     */
-    [[nodiscard]] auto waitingCount() const -> std::size_t;
-
     /**
      * @brief Counts the requests whose response is not sent in full.
      * @return Number of requests, those still arriving included.
