Learned costs: a call belongs to the runs whose deadline it shares

Now a call goes to the runs whose deadline it shares, else to those that end later, and calls with one possible parent weigh more. What is left of the wrong cost is small but not zero, and a part of zero followed from any cost: needs under 0.03 of a room, which the plan leaves free anyway, count as none. Plan lines show the costs.

Ruled out: the order of ranks (downloads share none of the short room).

--- a/src/jasminelatch/mesh/call_learner.cpp
+++ b/src/jasminelatch/mesh/call_learner.cpp
@@ -19,32 +19,38 @@
 {
 }
 
-auto CallLearner::runStarted(const std::string &route) -> void
+auto CallLearner::runStarted(const std::string &route, const TimePoint deadline) -> void
 {
-    ++routes_[route].running;
+    running_.emplace(deadline, route);
 }
 
-auto CallLearner::runEnded(const std::string &route, const Duration time) -> void
+auto CallLearner::runEnded(const std::string &route, const TimePoint deadline, const Duration time) -> void
 {
+    const auto [first, last] = running_.equal_range(deadline);
+    const auto run = std::find_if(first, last, [&](const auto &entry) { return entry.second == route; });
+    if (run != last) {
+        running_.erase(run);
+    }
     auto &observed = routes_[route];
-    observed.running -= std::min(observed.running, 1U);
     observed.runs += 1.0;
     observed.seconds += std::chrono::duration<double>(time).count();
 }
 
-auto CallLearner::callMade(const std::string &route) -> void
+auto CallLearner::callMade(const std::string &route, const TimePoint deadline) -> void
 {
+    const auto [first, last] = possibleParents(deadline);
+    std::map<std::string, double> shares;
     auto total = 0.0;
-    for (const auto &[name, observed] : routes_) {
-        total += observed.running * callRate(observed, route);
-    }
-    if (total <= 0.0) {
-        return;
+    for (auto run = first; run != last; ++run) {
+        const auto rate = callRate(routes_[run->second], route);
+        shares[run->second] += rate;
+        total += rate;
     }
-    for (auto &[name, observed] : routes_) {
-        if (observed.running > 0) {
-            observed.calls[route] += observed.running * callRate(observed, route) / total;
-        }
+    const auto isCertain = shares.size() == 1;
+    for (const auto &[name, share] : shares) {
+        auto &calls = routes_[name].calls[route];
+        calls.shared += share / total;
+        calls.certain += isCertain ? 1.0 : 0.0;
     }
 }
 
@@ -56,7 +62,8 @@
         observed.runs *= factor;
         observed.seconds *= factor;
         for (auto &[call, count] : observed.calls) {
-            count *= factor;
+            count.shared *= factor;
+            count.certain *= factor;
         }
     }
 }
@@ -72,8 +79,8 @@
         RouteProfile profile{name, observed.runs, {}, {}};
         profile.runTime = Duration{static_cast<Duration::rep>(observed.seconds / observed.runs * 1e6)};
         for (const auto &[call, count] : observed.calls) {
-            if (count / observed.runs > fewestCalls) {
-                profile.calls.emplace(call, count / observed.runs);
+            if (count.shared / observed.runs > fewestCalls) {
+                profile.calls.emplace(call, count.shared / observed.runs);
             }
         }
         profiles.push_back(std::move(profile));
@@ -81,11 +88,23 @@
     return profiles;
 }
 
-auto CallLearner::callRate(const Observed &observed, const std::string &call) -> double
+auto CallLearner::possibleParents(const TimePoint deadline) const -> std::pair<Runs::const_iterator, Runs::const_iterator>
+{
+    const auto first = running_.lower_bound(deadline - settings_.deadlineLate);
+    const auto last = running_.upper_bound(deadline + settings_.deadlineEarly);
+    if (first != last) {
+        return {first, last};
+    }
+    // A call whose own time is shorter ends before its run does. Where no run ends later, clocks have gone astray.
+    return last != running_.end() ? std::pair{last, running_.end()} : std::pair{running_.begin(), running_.end()};
+}
+
+auto CallLearner::callRate(const Observed &observed, const std::string &call) const -> double
 {
     const auto seen = observed.calls.find(call);
-    const auto calls = seen == observed.calls.end() ? 0.0 : seen->second;
-    return (calls + internal::priorCalls) / (observed.seconds + internal::priorSeconds);
+    const auto calls = seen == observed.calls.end() ? Calls{} : seen->second;
+    return (calls.shared + settings_.certainWeight * calls.certain + internal::priorCalls)
+         / (observed.seconds + internal::priorSeconds);
 }
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/call_learner.hpp
+++ b/src/jasminelatch/mesh/call_learner.hpp
@@ -3,9 +3,9 @@
 
 #include <jasminelatch/core/clock.hpp>
 
-#include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminelatch::mesh {
@@ -21,8 +21,10 @@
 /**
  * @brief Learns which calls the runs of each route make.
  *
- * Load pattern: the narrow service lies hops below the entry, and calls name no parent. A call is shared out over the
- * runs under way at the instance, in proportion to the rate at which runs of their route were seen to make such calls;
+ * Load pattern: the narrow service lies hops below the entry, and calls name no parent. A call expires with the run that
+ * makes it or earlier: it belongs to the runs under way at the instance whose deadline it shares, or to those that end
+ * later where none does.
+ * Among those it is shared out in proportion to the rate at which runs of their route were seen to make such calls;
  * repeated over many calls this settles on the rates under which the calls seen are likeliest.
  */
 class CallLearner
@@ -32,6 +34,12 @@
     struct Settings {
         Duration halfLife{std::chrono::seconds{10}}; /*!< Time in which an observation loses half of its weight. */
         double fewestRuns{3.0}; /*!< Runs below which nothing is told of a route. */
+        Duration deadlineEarly{std::chrono::milliseconds{3}}; /*!< A call's deadline may seem this much earlier than its
+                                                                 run's: both were cut to whole milliseconds. */
+        Duration deadlineLate{std::chrono::milliseconds{12}}; /*!< And this much later: the time left is counted anew
+                                                                 from when it arrives, at the instance and back here. */
+        double certainWeight{9.0}; /*!< Weight of a call with one possible parent beside one that is shared out: about as
+                                      many are ambiguous, and each spreads over all routes under way. */
     };
 
     explicit CallLearner(Settings settings);
@@ -39,21 +47,24 @@
     /**
      * @brief Notes that a run has begun.
      * @param route Its route.
+     * @param deadline Its deadline.
      */
-    auto runStarted(const std::string &route) -> void;
+    auto runStarted(const std::string &route, TimePoint deadline) -> void;
 
     /**
      * @brief Notes that a run has ended.
      * @param route Its route.
+     * @param deadline Its deadline.
      * @param time Time for which it held its slot.
      */
-    auto runEnded(const std::string &route, Duration time) -> void;
+    auto runEnded(const std::string &route, TimePoint deadline, Duration time) -> void;
 
     /**
      * @brief Notes a call that the instance makes.
      * @param route Route of the call.
+     * @param deadline Its deadline.
      */
-    auto callMade(const std::string &route) -> void;
+    auto callMade(const std::string &route, TimePoint deadline) -> void;
 
     /**
      * @brief Lets old observations fade.
@@ -65,17 +76,27 @@
     [[nodiscard]] auto profiles() const -> std::vector<RouteProfile>;
 
 private:
+    /*! @brief Calls of one route that runs of another were seen to make. */
+    struct Calls {
+        double shared{}; /*!< All of them, shared out where several routes may have made one. */
+        double certain{}; /*!< Those that only runs of this route can have made. */
+    };
+
     struct Observed {
-        std::uint32_t running{};
         double runs{};
         double seconds{}; /*!< Slot time of the runs that have ended. */
-        std::map<std::string, double> calls;
+        std::map<std::string, Calls> calls;
     };
 
-    [[nodiscard]] static auto callRate(const Observed &observed, const std::string &call) -> double;
+    using Runs = std::multimap<TimePoint, std::string>;
+
+    [[nodiscard]] auto callRate(const Observed &observed, const std::string &call) const -> double;
+    [[nodiscard]] auto possibleParents(TimePoint deadline) const
+        -> std::pair<Runs::const_iterator, Runs::const_iterator>;
 
     Settings settings_;
     std::map<std::string, Observed> routes_;
+    Runs running_; /*!< Routes of the runs under way, by deadline. */
 };
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/tree_admission.cpp
+++ b/src/jasminelatch/mesh/tree_admission.cpp
@@ -103,7 +103,8 @@
     std::vector<Kind *> order;
     for (auto &[name, kind] : kinds_) {
         order.push_back(&kind);
-        for (const auto &[service, cost] : costsOf(kind.route, profiles, known)) {
+        kind.costs = costsOf(kind.route, profiles, known);
+        for (const auto &[service, cost] : kind.costs) {
             if (!left.contains(service)) {
                 left[service] = plannedRoom(service, room(service));
             }
@@ -120,14 +121,16 @@
         // Kinds of one rank share what the more urgent ones leave in proportion to their needs.
         std::map<std::string, double> needs;
         for (auto kind = first; kind != last; ++kind) {
-            for (const auto &[service, cost] : costsOf((*kind)->route, profiles, known)) {
+            for (const auto &[service, cost] : (*kind)->costs) {
                 needs[service] += (*kind)->rate * cost;
             }
         }
         for (auto kind = first; kind != last; ++kind) {
             (*kind)->part = 1.0;
-            for (const auto &[service, cost] : costsOf((*kind)->route, profiles, known)) {
-                if (left.at(service) < needs.at(service) && needs.at(service) > 0.0) {
+            for (const auto &[service, cost] : (*kind)->costs) {
+                const auto isNegligible =
+                    (*kind)->rate * cost <= settings_.negligiblePart * services_.at(service).room.limit;
+                if (left.at(service) < needs.at(service) && !isNegligible) {
                     (*kind)->part = std::min((*kind)->part, std::max(left.at(service), 0.0) / needs.at(service));
                     services_[service].isShort = true;
                 }
@@ -137,7 +140,7 @@
             }
         }
         for (auto kind = first; kind != last; ++kind) {
-            for (const auto &[service, cost] : costsOf((*kind)->route, profiles, known)) {
+            for (const auto &[service, cost] : (*kind)->costs) {
                 const auto need = (*kind)->rate * (*kind)->part * cost;
                 left.at(service) -= need;
                 planned[service] += need;
--- a/src/jasminelatch/mesh/tree_admission.hpp
+++ b/src/jasminelatch/mesh/tree_admission.hpp
@@ -28,6 +28,7 @@
     std::string route; /*!< Its route. */
     double rate{}; /*!< Requests per second that clients offer. */
     double part{1.0}; /*!< Part of them that may start. */
+    std::map<std::string, double> costs; /*!< Slot seconds that one of them is believed to need, by service. */
 };
 
 /*! @brief What is planned with a service. */
@@ -53,6 +54,8 @@
     /*! @brief Settings of the admission. */
     struct Settings {
         double targetUse{0.97}; /*!< Part of a service's room to fill; the rest takes up clumps of arrivals. */
+        double negligiblePart{0.03}; /*!< Part of a service's room up to which a kind's need there is left to the rest
+                                        that `targetUse` leaves: learned costs are never quite zero. */
         Duration rateTime{std::chrono::milliseconds{600}}; /*!< Time over which a kind's rate is taken. */
         double queueHigh{0.25}; /*!< Waiting requests per running one above which less is let in. */
         double pressureStep{0.03}; /*!< Room taken away in a step while too many wait, and given back otherwise. */
--- a/src/jasminelatch/sidecar/entry.cpp
+++ b/src/jasminelatch/sidecar/entry.cpp
@@ -167,7 +167,7 @@
             return refusal;
         }
     } else {
-        context_.learner.callMade(route->name);
+        context_.learner.callMade(route->name, now + call.timeLeft.value_or(route->timeout));
     }
     hop.service = pickService(*route);
     return std::nullopt;
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -170,7 +170,7 @@
     }
     hop.instanceId = record_.report().id;
     context_.dialect.stampRequest(hop.request, hop, hop.deadline - entry.startedAt);
-    context_.learner.runStarted(hop.route);
+    context_.learner.runStarted(hop.route, hop.deadline);
     entry.sending = pool_.send(hop.request, hop.idempotent, [this, name](HttpConnection::Result result) {
         answered(name, std::move(result));
     });
@@ -217,7 +217,8 @@
 
 auto LocalInstance::runEnded(const Entry &entry) -> void
 {
-    context_.learner.runEnded(entry.request.route, context_.loop.now() - entry.startedAt);
+    const auto &hop = entry.request;
+    context_.learner.runEnded(hop.route, hop.deadline, context_.loop.now() - entry.startedAt);
 }
 
 auto LocalInstance::judge(HttpConnection::Result &&result) -> mesh::HopReply
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -421,7 +421,11 @@
     nlohmann::json kinds = nlohmann::json::array();
     for (const auto &kind : admission_.kinds()) {
         if (kind.part < 1.0) {
-            kinds.push_back({{"route", kind.route}, {"rank", kind.rank}, {"rate", kind.rate}, {"part", kind.part}});
+            kinds.push_back({{"route", kind.route},
+                             {"rank", kind.rank},
+                             {"rate", kind.rate},
+                             {"part", kind.part},
+                             {"costs", kind.costs}});
         }
     }
     const auto wasShort = std::exchange(isShort_, !kinds.empty());
