Node: no peer hears of a backend server before the node has records

Cause of process.Leaving.AllVmsAreReplacedUnderTraffic: a node that has just started told its peers at once of the backend server beside it. Orders sent there made calls, and the node refused those for want of records (configuration_stale), so that the order failed with 502.

--- a/src/jasminelatch/node/core.cpp
+++ b/src/jasminelatch/node/core.cpp
@@ -158,8 +158,10 @@
 auto Core::announce(call::Announcement announcement) -> void
 {
     run([&] {
-        announced_ = true;
-        if (!leaving_) {
+        // Without records this node would refuse the calls that its backend server makes while it runs a request.
+        const auto hasRecords = controllers_.configuration().view()->revision() > 0;
+        if (hasRecords && !leaving_) {
+            announced_ = true;
             controllers_.announce(announcement.state, announcement.slots, announcement.connections);
         }
         requestPath_.executor().announce(std::move(announcement));
@@ -235,6 +237,7 @@
             {"is_cell_holder", membership.isCellHolder()},
             {"rights", rights},
             {"backend_server", executor.backend().has_value()},
+            {"announced", announced_},
             {"limit", executor.admission().limit()},
             {"in_flight", executor.admission().inFlight()},
             {"queued", executor.admission().queued()},
--- a/src/jasminelatch/node/core.hpp
+++ b/src/jasminelatch/node/core.hpp
@@ -107,7 +107,7 @@
     std::deque<Local> local_;
     Controllers controllers_;
     RequestPath requestPath_;
-    bool announced_{};
+    bool announced_{}; /*!< Whether peers were told of the backend server. */
     bool leaving_{};
 };
 
--- a/test/jasminelatch/node/core_input.cpp
+++ b/test/jasminelatch/node/core_input.cpp
@@ -114,4 +114,17 @@
     EXPECT_EQ(core.status().at("configuration_revision"), 0);
 }
 
+TEST(Core, TellsNobodyOfItsBackendServerBeforeItHasRecords)
+{
+    // A node that has just started beside a running backend server: orders sent there failed, since the node refused the
+    // calls that they made. Here the store does not answer, so that no records come.
+    Clock clock;
+    clock.pause();
+    Core core{makeSettings(), 1, clock, makeHooks()};
+    core.start();
+    core.announce({"http://127.0.0.1:3", 10, 20, membership::EndpointState::Ready});
+    EXPECT_EQ(core.status().at("backend_server"), true);
+    EXPECT_EQ(core.status().at("announced"), false);
+}
+
 } // namespace jasminelatch::node
