Freshness: long watches; few nodes ask the store and pass its word on to peers

A watch confirms nothing while it waits, so it can only be made longer if something else confirms. Now short calls do; an answer to a report passes the word on with its age, counted from before the report was sent, and it holds only once the receiver has applied every change that it covers. The first live nodes in order of names ask; the others only when they hear nothing. The short call brings changes too and starts a watch again that failed or went silent. An older answer no longer undoes a newer one (revisions are compared).

A node that the store turns away goes on trusting keys through its peers; a key withdrawn meanwhile stops there in time.

--- a/src/jasminelatch/mesh/freshness.cpp
+++ b/src/jasminelatch/mesh/freshness.cpp
@@ -1,27 +1,63 @@
 #include "freshness.hpp"
 
+#include <algorithm>
+
 namespace jasminelatch::mesh {
 
-Freshness::Freshness(const Duration validity)
-    : validity_{validity}
+Freshness::Freshness(Settings settings)
+    : settings_{settings}
 {
 }
 
-auto Freshness::confirm(const TimePoint sentAt) -> void
+auto Freshness::confirm(const StoreConfirmation &word, const TimePoint now) -> void
 {
-    if (!confirmedAt_ || *confirmedAt_ < sentAt) {
-        confirmedAt_ = sentAt;
+    if (word.revision > applied_) {
+        if (!ahead_) {
+            aheadSince_ = now;
+        }
+        if (!ahead_ || ahead_->at < word.at) {
+            ahead_ = word;
+        }
+        return;
+    }
+    if (!confirmed_ || confirmed_->at < word.at) {
+        confirmed_ = word;
+    }
+}
+
+auto Freshness::applied(const std::uint64_t revision) -> void
+{
+    applied_ = std::max(applied_, revision);
+    if (ahead_ && ahead_->revision <= applied_) {
+        if (!confirmed_ || confirmed_->at < ahead_->at) {
+            confirmed_ = ahead_;
+        }
+        ahead_.reset();
     }
 }
 
 auto Freshness::isFresh(const TimePoint now) const -> bool
 {
-    return confirmedAt_ && now - *confirmedAt_ <= validity_;
+    return confirmed_ && now - confirmed_->at <= settings_.validity;
+}
+
+auto Freshness::shouldAsk(const std::size_t order, const TimePoint now) const -> bool
+{
+    if (ahead_ && now - aheadSince_ >= settings_.lag) {
+        return true;
+    }
+    const auto patience = settings_.firstPatience + settings_.patienceStep * static_cast<double>(order);
+    return !confirmed_ || now - confirmed_->at >= part(std::min(patience, settings_.longestPatience));
+}
+
+auto Freshness::confirmation() const -> const std::optional<StoreConfirmation> &
+{
+    return confirmed_;
 }
 
-auto Freshness::age(const TimePoint now) const -> std::optional<Duration>
+auto Freshness::part(const double share) const -> Duration
 {
-    return confirmedAt_ ? std::optional<Duration>{now - *confirmedAt_} : std::nullopt;
+    return Duration{static_cast<Duration::rep>(static_cast<double>(settings_.validity.count()) * share)};
 }
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/freshness.hpp
+++ b/src/jasminelatch/mesh/freshness.hpp
@@ -3,30 +3,57 @@
 
 #include <jasminelatch/core/clock.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace jasminelatch::mesh {
 
+/*! @brief Word of the store, from itself or passed on by a peer: at `at`, no change after `revision` was acknowledged. */
+struct StoreConfirmation {
+    std::uint64_t revision{}; /*!< Revision of the store. */
+    TimePoint at; /*!< Moment before the confirming call was sent, or earlier. */
+};
+
 /**
- * @brief Tells for how long keys may be trusted after the store last confirmed the configuration.
+ * @brief Tells for how long keys may be trusted after the store last confirmed the configuration, and when to ask again.
  *
- * Load pattern: keys are withdrawn while this node can't reach the store. A confirmation counts from the moment before
- * the confirming call was sent, since an answer may be late.
+ * Load patterns: keys are withdrawn while this node can't reach the store; and a large fleet that asks the store one by
+ * one would be its main load. A confirmation counts from the moment before the confirming call was sent, since an answer
+ * may be late. Peers pass theirs on; one counts only once this node has applied every change that it covers. Few nodes
+ * ask the store often, and the others only when they hear nothing from those.
  */
 class Freshness
 {
 public:
+    /*! @brief Times, most of them as parts of the validity. */
+    struct Settings {
+        Duration validity{}; /*!< Time for which a confirmation holds. */
+        double firstPatience{0.22}; /*!< Age at which the first node in order asks the store. */
+        double patienceStep{0.09}; /*!< What each next node in order waits longer, so that it hears of the answer. */
+        double longestPatience{0.5}; /*!< Age at which every node asks; leaves time for a second call. */
+        Duration lag{std::chrono::milliseconds{800}}; /*!< Time in which changes that a peer knows of should have come
+                                                         with the own watch. */
+    };
+
     /**
      * @brief Makes a record without any confirmation.
-     * @param validity Time for which a confirmation holds.
+     * @param settings Times.
      */
-    explicit Freshness(Duration validity);
+    explicit Freshness(Settings settings);
 
     /**
      * @brief Takes a confirmation.
-     * @param sentAt Moment before the confirming call was sent.
+     * @param word The confirmation.
+     * @param now Present time.
      */
-    auto confirm(TimePoint sentAt) -> void;
+    auto confirm(const StoreConfirmation &word, TimePoint now) -> void;
+
+    /**
+     * @brief Notes that every change up to a revision has been applied.
+     * @param revision The revision.
+     */
+    auto applied(std::uint64_t revision) -> void;
 
     /**
      * @brief Tells whether keys may be trusted.
@@ -36,15 +63,24 @@
     [[nodiscard]] auto isFresh(TimePoint now) const -> bool;
 
     /**
-     * @brief Returns the age of the last confirmation.
+     * @brief Tells whether to ask the store now.
+     * @param order Number of live nodes that come before this one in an order that all nodes share.
      * @param now Present time.
-     * @return The age, or nothing before the first confirmation.
+     * @return Whether the confirmation is too old, or changes known to a peer have not come.
      */
-    [[nodiscard]] auto age(TimePoint now) const -> std::optional<Duration>;
+    [[nodiscard]] auto shouldAsk(std::size_t order, TimePoint now) const -> bool;
+
+    /*! @brief Returns the newest confirmation that covers only applied changes; nothing before the first. */
+    [[nodiscard]] auto confirmation() const -> const std::optional<StoreConfirmation> &;
 
 private:
-    Duration validity_;
-    std::optional<TimePoint> confirmedAt_;
+    [[nodiscard]] auto part(double share) const -> Duration;
+
+    Settings settings_;
+    std::uint64_t applied_{};
+    std::optional<StoreConfirmation> confirmed_;
+    std::optional<StoreConfirmation> ahead_; /*!< Newest word that covers changes which are not applied. */
+    TimePoint aheadSince_;
 };
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -136,9 +136,14 @@
             {}};
 }
 
-auto encode(const ReportReceived &, TimePoint) -> Parts
+auto encode(const ReportReceived &message, TimePoint) -> Parts
 {
-    return {Json::array({Kind::ReportReceived}), {}};
+    auto head = Json::array({Kind::ReportReceived});
+    if (message.age) {
+        head.push_back(message.revision);
+        head.push_back(message.age->count());
+    }
+    return {std::move(head), {}};
 }
 
 auto decodeRequest(const Json &json, std::string body, const TimePoint now) -> RequestMessage
@@ -188,6 +193,15 @@
              decodeProfiles(json.at(8))}};
 }
 
+auto decodeReceived(const Json &json) -> ReportReceived
+{
+    constexpr std::size_t withConfirmation = 3;
+    if (json.size() < withConfirmation) {
+        return {};
+    }
+    return {json.at(1).get<std::uint64_t>(), Duration{json.at(2).get<std::uint64_t>()}};
+}
+
 auto decode(const std::string_view head, const std::string_view body, const TimePoint now) -> std::optional<PeerMessage>
 {
     try {
@@ -202,7 +216,7 @@
         case Kind::Report:
             return decodeReport(json);
         case Kind::ReportReceived:
-            return ReportReceived{};
+            return decodeReceived(json);
         }
     } catch (const Json::exception &) {
         return std::nullopt;
--- a/src/jasminelatch/mesh/peer_message.hpp
+++ b/src/jasminelatch/mesh/peer_message.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -42,8 +43,10 @@
     NodeReport report; /*!< The report. */
 };
 
-/*! @brief Answer to a report. */
+/*! @brief Answer to a report; passes on how the store last confirmed the configuration. */
 struct ReportReceived {
+    std::uint64_t revision{}; /*!< Revision of the store. */
+    std::optional<Duration> age; /*!< Age of that word when this answer was written; nothing before the first word. */
 };
 
 /*! @brief Message between nodes. */
--- a/src/jasminelatch/sidecar/fleet_keeper.cpp
+++ b/src/jasminelatch/sidecar/fleet_keeper.cpp
@@ -9,6 +9,8 @@
 
 /*! @brief Prefix of the nodes' records in the store. */
 constexpr std::string_view recordPrefix = "jasminelatch/nodes/";
+/*! @brief Shortest wait of a watch: it only asks what there is. */
+constexpr Duration noWait = std::chrono::milliseconds{1};
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusHistoryGone = 410;
@@ -40,8 +42,9 @@
     , settings_{settings}
     , hooks_{std::move(hooks)}
     , watchChannel_{context.loop, store}
+    , askChannel_{context.loop, store}
     , callChannel_{context.loop, store}
-    , freshness_{settings.keyValidity}
+    , freshness_{{.validity = settings.keyValidity}}
     , random_{std::random_device{}()}
     , pause_{settings.firstPause}
 {
@@ -50,6 +53,7 @@
 auto FleetKeeper::start() -> void
 {
     list({});
+    checkLater();
 }
 
 auto FleetKeeper::setOwnRecord(const mesh::Member &member) -> void
@@ -71,6 +75,21 @@
     }
 }
 
+auto FleetKeeper::confirmed(const mesh::StoreConfirmation &word) -> void
+{
+    freshness_.confirm(word, context_.loop.now());
+}
+
+auto FleetKeeper::setOrder(const std::size_t order) -> void
+{
+    order_ = order;
+}
+
+auto FleetKeeper::confirmation() const -> const std::optional<mesh::StoreConfirmation> &
+{
+    return freshness_.confirmation();
+}
+
 auto FleetKeeper::isFresh() const -> bool
 {
     return hasConfiguration_ && freshness_.isFresh(context_.loop.now());
@@ -84,7 +103,9 @@
 auto FleetKeeper::list(const std::string &after) -> void
 {
     if (after.empty()) {
+        isListing_ = true;
         listing_.clear();
+        listedAt_.reset();
     }
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.list");
@@ -95,15 +116,15 @@
 
 auto FleetKeeper::listed(const HttpConnection::Result &result, const TimePoint sentAt) -> void
 {
-    const auto view = internal::isOk(result) ? context_.dialect.store.readView(*result.answer) : std::nullopt;
+    const auto view = readView(result);
     if (!view) {
-        retryLater("list", result, [this] { list({}); });
+        context_.loop.after(pauseAfterFailure("list", result), [this] { list({}); });
         return;
     }
     reachable();
-    if (listing_.empty()) {
+    if (!listedAt_) {
         // Changes made while later pages are read come again with the watch.
-        revision_ = view->revision;
+        listedAt_ = {view->revision, sentAt};
     }
     for (const auto &item : view->items) {
         listing_.insert(item.key);
@@ -113,10 +134,10 @@
         list(view->items.back().key);
         return;
     }
-    finishListing(sentAt);
+    finishListing();
 }
 
-auto FleetKeeper::finishListing(const TimePoint sentAt) -> void
+auto FleetKeeper::finishListing() -> void
 {
     const auto known = known_;
     for (const auto &key : known) {
@@ -126,12 +147,16 @@
         }
     }
     listing_.clear();
-    freshness_.confirm(sentAt);
+    isListing_ = false;
+    revision_ = listedAt_->revision;
+    freshness_.applied(revision_);
+    freshness_.confirm(*listedAt_, context_.loop.now());
     watch();
 }
 
 auto FleetKeeper::watch() -> void
 {
+    needsWatch_ = false;
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.watch");
     watchChannel_.call(context_.dialect.store.watch({}, revision_, settings_.watchWait),
@@ -146,24 +171,102 @@
         list({});
         return;
     }
-    const auto view = internal::isOk(result) ? context_.dialect.store.readView(*result.answer) : std::nullopt;
+    const auto view = readView(result);
     if (!view) {
-        retryLater("watch", result, [this] { watch(); });
+        // The next short call that the store answers starts the watch again.
+        needsWatch_ = true;
+        askAfter_ = context_.loop.now() + pauseAfterFailure("watch", result);
         return;
     }
     reachable();
-    freshness_.confirm(sentAt);
-    for (const auto &item : view->items) {
-        apply(item);
-    }
-    revision_ = std::max(revision_, view->revision);
-    if (view->items.empty()) {
-        watch();
+    if (applyChanges(*view, sentAt)) {
+        watchTimer_ = context_.loop.after(settings_.gatherTime, [this] {
+            watchTimer_ = 0;
+            watch();
+        });
     } else {
-        context_.loop.after(settings_.gatherTime, [this] { watch(); });
+        watch();
     }
 }
 
+auto FleetKeeper::restartWatch() -> void
+{
+    context_.loop.cancel(watchTimer_);
+    watchTimer_ = 0;
+    watchChannel_.reset();
+    watch();
+}
+
+auto FleetKeeper::checkLater() -> void
+{
+    context_.loop.after(settings_.checkInterval, [this] {
+        const auto now = context_.loop.now();
+        const auto wantsWord = needsWatch_ || freshness_.shouldAsk(order_, now);
+        if (wantsWord && !isListing_ && !isAsking_ && now >= askAfter_) {
+            ask();
+        }
+        checkLater();
+    });
+}
+
+auto FleetKeeper::ask() -> void
+{
+    isAsking_ = true;
+    const auto sentAt = context_.loop.now();
+    context_.counters.add("store.ask");
+    askChannel_.call(context_.dialect.store.watch({}, revision_, internal::noWait),
+                     settings_.callTimeout,
+                     [this, sentAt](const auto &result) { asked(result, sentAt); });
+}
+
+auto FleetKeeper::asked(const HttpConnection::Result &result, const TimePoint sentAt) -> void
+{
+    isAsking_ = false;
+    if (isListing_) {
+        return;
+    }
+    if (internal::statusOf(result) == internal::statusHistoryGone) {
+        context_.log.write("store_history_gone", {{"revision", revision_}});
+        context_.loop.cancel(watchTimer_);
+        watchTimer_ = 0;
+        watchChannel_.reset();
+        list({});
+        return;
+    }
+    const auto view = readView(result);
+    if (!view) {
+        needsWatch_ = true;
+        askAfter_ = context_.loop.now() + pauseAfterFailure("ask", result);
+        return;
+    }
+    reachable();
+    // The watch should have brought what comes here first: it may have gone silent.
+    if (applyChanges(*view, sentAt) || needsWatch_) {
+        restartWatch();
+    }
+}
+
+auto FleetKeeper::applyChanges(const StoreView &view, const TimePoint sentAt) -> bool
+{
+    auto isNews = false;
+    for (const auto &item : view.items) {
+        // The watch and a short call may both bring a change; the older answer must not undo the newer one.
+        if (item.revision > revision_) {
+            apply(item);
+            isNews = true;
+        }
+    }
+    revision_ = std::max(revision_, view.revision);
+    freshness_.applied(revision_);
+    freshness_.confirm({view.revision, sentAt}, context_.loop.now());
+    return isNews;
+}
+
+auto FleetKeeper::readView(const HttpConnection::Result &result) const -> std::optional<StoreView>
+{
+    return internal::isOk(result) ? context_.dialect.store.readView(*result.answer) : std::nullopt;
+}
+
 auto FleetKeeper::apply(const StoreItem &item) -> void
 {
     if (item.key == context_.dialect.store.configurationKey) {
@@ -216,9 +319,7 @@
     hooks_.configured(std::move(*configuration));
 }
 
-auto FleetKeeper::retryLater(const std::string_view what,
-                             const HttpConnection::Result &result,
-                             std::function<void()> task) -> void
+auto FleetKeeper::pauseAfterFailure(const std::string_view what, const HttpConnection::Result &result) -> Duration
 {
     context_.counters.add("store.failed");
     if (std::exchange(isReachable_, false)) {
@@ -226,9 +327,9 @@
                            {{"call", what}, {"status", internal::statusOf(result)}, {"error", result.error}});
     }
     const auto part = std::uniform_real_distribution{0.5, 1.0}(random_);
-    const auto delay = Duration{static_cast<Duration::rep>(static_cast<double>(pause_.count()) * part)};
+    const auto pause = Duration{static_cast<Duration::rep>(static_cast<double>(pause_.count()) * part)};
     pause_ = std::min(pause_ * 2, settings_.longestPause);
-    context_.loop.after(delay, std::move(task));
+    return pause;
 }
 
 auto FleetKeeper::reachable() -> void
--- a/src/jasminelatch/sidecar/fleet_keeper.hpp
+++ b/src/jasminelatch/sidecar/fleet_keeper.hpp
@@ -24,21 +24,24 @@
 /**
  * @brief Keeps this node's record in the store, and follows the records of the others and the configuration.
  *
- * One watch a node covers records and configuration. Each answer also confirms that the configuration in force is the
- * newest, which is what lets keys be trusted.
+ * One long watch a node covers records and configuration. It brings changes at once but confirms nothing while it waits
+ * and may have gone silent; so short calls ask now and then whether there is more, which is what lets keys be trusted.
+ * Peers pass their answers on, and only few nodes need to ask.
  */
 class FleetKeeper
 {
 public:
     /*! @brief Times of the calls. */
     struct Settings {
-        Duration watchWait{std::chrono::milliseconds{1500}}; /*!< Time that a watch waits at the store. */
+        Duration watchWait{std::chrono::seconds{25}}; /*!< Time that a watch waits at the store; it allows 30 s. */
+        Duration checkInterval{std::chrono::milliseconds{250}}; /*!< Interval at which freshness is looked at. */
         Duration callTimeout{std::chrono::milliseconds{1000}}; /*!< Time for an answer beyond that. */
         Duration leaseTime{std::chrono::seconds{10}}; /*!< Time that a record outlives its node. */
         Duration renewInterval{std::chrono::seconds{3}}; /*!< Interval between renewals. */
         Duration firstPause{std::chrono::milliseconds{200}}; /*!< Pause after a failed call; doubles. */
         Duration longestPause{std::chrono::milliseconds{1000}}; /*!< Longest pause, so that all are back in 2 s. */
-        Duration gatherTime{std::chrono::milliseconds{100}}; /*!< Pause after changes, so that more come at once. */
+        Duration gatherTime{std::chrono::milliseconds{300}}; /*!< Pause after changes, so that more come at once; short
+                                                                beside the time in which a configuration is due. */
         Duration keyValidity{}; /*!< Time for which a confirmation lets keys be trusted. */
     };
 
@@ -82,6 +85,21 @@
     /*! @brief Removes this node's record: the node is about to stop. */
     auto leave() -> void;
 
+    /**
+     * @brief Takes the store's word that a peer has passed on.
+     * @param word The word.
+     */
+    auto confirmed(const mesh::StoreConfirmation &word) -> void;
+
+    /**
+     * @brief Sets the place of this node among those that ask the store.
+     * @param order Number of live nodes before it.
+     */
+    auto setOrder(std::size_t order) -> void;
+
+    /*! @brief Returns the store's newest word, to be passed on to peers. */
+    [[nodiscard]] auto confirmation() const -> const std::optional<mesh::StoreConfirmation> &;
+
     /*! @brief Tells whether keys may be trusted. */
     [[nodiscard]] auto isFresh() const -> bool;
 
@@ -91,12 +109,18 @@
 private:
     auto list(const std::string &after) -> void;
     auto listed(const HttpConnection::Result &result, TimePoint sentAt) -> void;
-    auto finishListing(TimePoint sentAt) -> void;
+    auto finishListing() -> void;
     auto watch() -> void;
     auto watched(const HttpConnection::Result &result, TimePoint sentAt) -> void;
+    auto restartWatch() -> void;
+    auto checkLater() -> void;
+    auto ask() -> void;
+    auto asked(const HttpConnection::Result &result, TimePoint sentAt) -> void;
+    auto applyChanges(const StoreView &view, TimePoint sentAt) -> bool;
+    [[nodiscard]] auto readView(const HttpConnection::Result &result) const -> std::optional<StoreView>;
     auto apply(const StoreItem &item) -> void;
     auto applyConfiguration(const StoreItem &item) -> void;
-    auto retryLater(std::string_view what, const HttpConnection::Result &result, std::function<void()> task) -> void;
+    [[nodiscard]] auto pauseAfterFailure(std::string_view what, const HttpConnection::Result &result) -> Duration;
     auto reachable() -> void;
 
     auto ensureLease() -> void;
@@ -111,12 +135,20 @@
     Settings settings_;
     Hooks hooks_;
     StoreChannel watchChannel_;
+    StoreChannel askChannel_;
     StoreChannel callChannel_;
     mesh::Freshness freshness_;
     std::mt19937_64 random_;
     Duration pause_;
     bool isReachable_{true};
-    std::uint64_t revision_{};
+    std::uint64_t revision_{}; /*!< Every change up to it is applied. */
+    std::optional<mesh::StoreConfirmation> listedAt_; /*!< Word of the first page of the listing under way. */
+    bool isListing_{true};
+    bool isAsking_{};
+    bool needsWatch_{}; /*!< Whether the watch has failed or may have gone silent. */
+    TimePoint askAfter_; /*!< Moment before which the store is not asked again. */
+    event::TimerId watchTimer_{};
+    std::size_t order_{};
     std::uint64_t configurationVersion_{};
     bool hasConfiguration_{};
     std::set<std::string> listing_; /*!< Keys seen by the listing under way. */
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -27,8 +27,6 @@
 constexpr Duration coldStep = std::chrono::seconds{3};
 /*! @brief Part of the time to revocation in which a confirmation holds; the rest is for slow answers. */
 constexpr double keyValidityPart = 0.9;
-/*! @brief Watches that fit into the validity of a confirmation: one may fail, and each counts from its start. */
-constexpr int watchesPerValidity = 3;
 /*! @brief Part of a cap's allowed excess that is used up by requests unseen between nodes; the rest is for late
  * reports. */
 constexpr double capDebtPart = 0.65;
@@ -62,7 +60,6 @@
     FleetKeeper::Settings keeper;
     const auto validity = static_cast<double>(settings.revocation.count()) * keyValidityPart;
     keeper.keyValidity = Duration{static_cast<Duration::rep>(validity)};
-    keeper.watchWait = std::min<Duration>(keeper.watchWait, keeper.keyValidity / watchesPerValidity);
     return keeper;
 }
 
@@ -117,8 +114,9 @@
               }}}
     , peerServer_{loop,
                   instance_,
-                  [this](const mesh::NodeReport &report) {
-                      applyReport(report);
+                  [this](const mesh::NodeReport &report) { applyReport(report); },
+                  [this] {
+                      return keeper_.confirmation();
                   }}
     , callers_{loop,
                {[this](mesh::Request request, HttpServer::Respond respond) {
@@ -286,7 +284,10 @@
         peer.link->fail();
     }
     if (isOther) {
-        peer.link = std::make_unique<PeerLink>(*loop_, member.address, PeerLink::Settings{});
+        peer.link = std::make_unique<PeerLink>(
+            *loop_, member.address, PeerLink::Settings{}, [this](const mesh::StoreConfirmation &word) {
+                keeper_.confirmed(word);
+            });
     }
     peer.member = member;
     placement_.setMember(member, loop_->now());
@@ -412,10 +413,19 @@
     }
     fadedAt_ = now;
     sendReports();
+    keeper_.setOrder(orderAmongLive());
     admission_.update([this](const std::string &service) { return placement_.room(service); }, now);
     logPlan(now);
 }
 
+auto Node::orderAmongLive() const -> std::size_t
+{
+    const auto before = [this](const auto &entry) {
+        return entry.first < settings_.name && entry.second.link->isAlive();
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(peers_, before));
+}
+
 auto Node::logPlan(const TimePoint now) -> void
 {
     nlohmann::json kinds = nlohmann::json::array();
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -88,6 +88,7 @@
     auto publish() -> void;
     auto sendReports() -> void;
     auto tick() -> void;
+    [[nodiscard]] auto orderAmongLive() const -> std::size_t;
     auto logPlan(TimePoint now) -> void;
     auto reportEarly() -> void;
     auto reportLater() -> void;
--- a/src/jasminelatch/sidecar/peer_link.cpp
+++ b/src/jasminelatch/sidecar/peer_link.cpp
@@ -22,10 +22,11 @@
 
 } // namespace internal
 
-PeerLink::PeerLink(event::Loop &loop, event::Endpoint to, Settings settings)
+PeerLink::PeerLink(event::Loop &loop, event::Endpoint to, Settings settings, Confirmed confirmed)
     : loop_{&loop}
     , to_{std::move(to)}
     , settings_{settings}
+    , confirmed_{std::move(confirmed)}
     , reader_{mesh::maxFrameBytes}
     , pause_{settings.firstPause}
 {
@@ -64,6 +65,7 @@
     if (!awaitingSince_) {
         awaitingSince_ = now;
     }
+    reportedAt_.push_back(now);
     stream_->write(std::exchange(hasReported_, true) ? changes : whole());
 }
 
@@ -79,6 +81,7 @@
     open_ = false;
     hasReported_ = false;
     awaitingSince_.reset();
+    reportedAt_.clear();
     retryAt_ = loop_->now() + pause_;
     pause_ = std::min(pause_ * 2, settings_.longestPause);
     reader_ = mesh::FrameReader{mesh::maxFrameBytes};
@@ -132,7 +135,24 @@
         }
         return true;
     }
-    return std::holds_alternative<mesh::ReportReceived>(message);
+    if (const auto *received = std::get_if<mesh::ReportReceived>(&message)) {
+        reportReceived(*received);
+        return true;
+    }
+    return false;
+}
+
+auto PeerLink::reportReceived(const mesh::ReportReceived &message) -> void
+{
+    if (reportedAt_.empty()) {
+        return;
+    }
+    // The peer wrote its answer after the report was sent, however long both were on the way.
+    const auto writtenAfter = reportedAt_.front();
+    reportedAt_.pop_front();
+    if (message.age) {
+        confirmed_({message.revision, writtenAfter - *message.age});
+    }
 }
 
 } // namespace jasminelatch::sidecar
--- a/src/jasminelatch/sidecar/peer_link.hpp
+++ b/src/jasminelatch/sidecar/peer_link.hpp
@@ -4,10 +4,12 @@
 #include <jasminelatch/event/endpoint.hpp>
 #include <jasminelatch/event/loop.hpp>
 #include <jasminelatch/event/stream.hpp>
+#include <jasminelatch/mesh/freshness.hpp>
 #include <jasminelatch/mesh/hop.hpp>
 #include <jasminelatch/mesh/peer_message.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +31,9 @@
     /*! @brief Called once with the word on a request. */
     using Finished = std::function<void(mesh::HopReply reply)>;
 
+    /*! @brief Called with the store's word that the peer passes on. */
+    using Confirmed = std::function<void(const mesh::StoreConfirmation &word)>;
+
     /*! @brief Bounds of a link. */
     struct Settings {
         Duration silence{std::chrono::milliseconds{1000}}; /*!< Time without an answer that ends the connection. */
@@ -41,8 +46,9 @@
      * @param loop Loop to run on; it outlives the link.
      * @param to Address of the peer.
      * @param settings Bounds.
+     * @param confirmed What to call.
      */
-    PeerLink(event::Loop &loop, event::Endpoint to, Settings settings);
+    PeerLink(event::Loop &loop, event::Endpoint to, Settings settings, Confirmed confirmed);
 
     PeerLink(const PeerLink &) = delete;
     auto operator=(const PeerLink &) -> PeerLink & = delete;
@@ -82,10 +88,12 @@
     auto opened() -> void;
     auto receive(std::span<const char> bytes) -> void;
     auto take(mesh::PeerMessage message) -> bool;
+    auto reportReceived(const mesh::ReportReceived &message) -> void;
 
     event::Loop *loop_;
     event::Endpoint to_;
     Settings settings_;
+    Confirmed confirmed_;
     std::unique_ptr<event::Stream> stream_;
     mesh::FrameReader reader_;
     std::map<std::uint64_t, Finished> exchanges_;
@@ -94,6 +102,7 @@
     bool hasReported_{}; /*!< Whether this connection has carried a whole report. */
     TimePoint heardAt_;
     std::optional<TimePoint> awaitingSince_; /*!< When the oldest unanswered report was sent. */
+    std::deque<TimePoint> reportedAt_; /*!< When the reports that are not answered were sent; answers keep their order. */
     TimePoint retryAt_;
     Duration pause_;
 };
--- a/src/jasminelatch/sidecar/peer_server.cpp
+++ b/src/jasminelatch/sidecar/peer_server.cpp
@@ -4,10 +4,11 @@
 
 namespace jasminelatch::sidecar {
 
-PeerServer::PeerServer(event::Loop &loop, LocalInstance &instance, Reported reported)
+PeerServer::PeerServer(event::Loop &loop, LocalInstance &instance, Reported reported, Confirmation confirmation)
     : loop_{&loop}
     , instance_{&instance}
     , reported_{std::move(reported)}
+    , confirmation_{std::move(confirmation)}
     , listener_{loop, [this](boost::asio::ip::tcp::socket socket) {
                     accepted(std::move(socket));
                 }}
@@ -59,13 +60,19 @@
         return true;
     }
     if (const auto *report = std::get_if<mesh::ReportMessage>(&message)) {
-        known.stream->write(mesh::encodeFrame(mesh::ReportReceived{}, loop_->now()));
+        known.stream->write(mesh::encodeFrame(receipt(), loop_->now()));
         reported_(report->report);
         return true;
     }
     return false;
 }
 
+auto PeerServer::receipt() const -> mesh::ReportReceived
+{
+    const auto word = confirmation_();
+    return word ? mesh::ReportReceived{word->revision, loop_->now() - word->at} : mesh::ReportReceived{};
+}
+
 auto PeerServer::start(const std::uint64_t session, mesh::RequestMessage message) -> void
 {
     const auto exchange = message.exchange;
--- a/src/jasminelatch/sidecar/peer_server.hpp
+++ b/src/jasminelatch/sidecar/peer_server.hpp
@@ -6,6 +6,7 @@
 #include <jasminelatch/event/listener.hpp>
 #include <jasminelatch/event/loop.hpp>
 #include <jasminelatch/event/stream.hpp>
+#include <jasminelatch/mesh/freshness.hpp>
 #include <jasminelatch/mesh/peer_message.hpp>
 
 #include <cstdint>
@@ -26,14 +27,17 @@
 public:
     /*! @brief Called with each report. */
     using Reported = std::function<void(const mesh::NodeReport &report)>;
+    /*! @brief Returns the store's newest word to pass on. */
+    using Confirmation = std::function<std::optional<mesh::StoreConfirmation>()>;
 
     /**
      * @brief Prepares a server.
      * @param loop Loop to run on; it outlives the server.
      * @param instance Instance that runs the requests; it outlives the server.
      * @param reported What to call.
+     * @param confirmation Where the word comes from that goes with each answer to a report.
      */
-    PeerServer(event::Loop &loop, LocalInstance &instance, Reported reported);
+    PeerServer(event::Loop &loop, LocalInstance &instance, Reported reported, Confirmation confirmation);
 
     PeerServer(const PeerServer &) = delete;
     auto operator=(const PeerServer &) -> PeerServer & = delete;
@@ -63,12 +67,14 @@
     auto receive(std::uint64_t session, std::span<const char> bytes) -> void;
     auto take(std::uint64_t session, mesh::PeerMessage message) -> bool;
     auto start(std::uint64_t session, mesh::RequestMessage message) -> void;
+    [[nodiscard]] auto receipt() const -> mesh::ReportReceived;
     auto finished(std::uint64_t session, std::uint64_t exchange, mesh::HopReply reply) -> void;
     auto end(std::uint64_t session) -> void;
 
     event::Loop *loop_;
     LocalInstance *instance_;
     Reported reported_;
+    Confirmation confirmation_;
     event::Listener listener_;
     std::map<std::uint64_t, Session> sessions_;
     std::uint64_t lastSession_{};
--- a/src/jasminelatch/sidecar/store_channel.cpp
+++ b/src/jasminelatch/sidecar/store_channel.cpp
@@ -27,6 +27,14 @@
     }
 }
 
+auto StoreChannel::reset() -> void
+{
+    loop_->cancel(timer_);
+    dropConnection();
+    pending_.clear();
+    busy_ = false;
+}
+
 auto StoreChannel::sendNext() -> void
 {
     if (pending_.empty()) {
--- a/src/jasminelatch/sidecar/store_channel.hpp
+++ b/src/jasminelatch/sidecar/store_channel.hpp
@@ -43,6 +43,9 @@
      */
     auto call(mesh::Request request, Duration timeout, Finished finished) -> void;
 
+    /*! @brief Drops the connection and forgets the calls that have not ended; nobody is told. */
+    auto reset() -> void;
+
 private:
     struct Pending {
         mesh::Request request;
--- a/test/jasminelatch/mesh/configuration.cpp
+++ b/test/jasminelatch/mesh/configuration.cpp
@@ -1,5 +1,4 @@
 #include <jasminelatch/mesh/configuration.hpp>
-#include <jasminelatch/mesh/freshness.hpp>
 #include <jasminelatch/mesh/http.hpp>
 
 #include <gtest/gtest.h>
@@ -43,18 +42,6 @@
     EXPECT_EQ(index.findAccount("k3"), nullptr);
 }
 
-TEST(Freshness, CountsFromBeforeTheConfirmingCall)
-{
-    Freshness freshness{4500ms};
-    constexpr TimePoint start{1h};
-    EXPECT_FALSE(freshness.isFresh(start));
-    freshness.confirm(start);
-    EXPECT_TRUE(freshness.isFresh(start + 4500ms));
-    EXPECT_FALSE(freshness.isFresh(start + 4501ms));
-    freshness.confirm(start - 1s);
-    EXPECT_TRUE(freshness.isFresh(start + 4500ms));
-}
-
 TEST(Fields, ThoseOfOneConnectionAreRemoved)
 {
     std::vector<Field> fields{
--- a/test/jasminelatch/mesh/peer_message.cpp
+++ b/test/jasminelatch/mesh/peer_message.cpp
@@ -89,6 +89,24 @@
     EXPECT_EQ(seen->load.queued, 2U);
 }
 
+TEST(ReportReceived, PassesTheWordOfTheStoreOn)
+{
+    const auto roundTrip = [](const ReportReceived &message) {
+        const auto bytes = encodeFrame(message, start);
+        std::optional<ReportReceived> seen;
+        FrameReader reader{maxFrame};
+        EXPECT_TRUE(reader.feed(bytes, start, [&](PeerMessage received) {
+            seen = std::get<ReportReceived>(received);
+            return true;
+        }));
+        return seen.value();
+    };
+    const auto word = roundTrip({41, 1200ms});
+    EXPECT_EQ(word.revision, 41U);
+    EXPECT_EQ(word.age, Duration{1200ms});
+    EXPECT_EQ(roundTrip({}).age, std::nullopt);
+}
+
 TEST(Member, KeepsItsFieldsInTheStore)
 {
     const Member member{"vm", 5, {"10.0.0.1", 7000}, "a", "orders", "i-1", 30, true, 3s};
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -269,6 +269,45 @@
     EXPECT_TRUE(world.runUntil([&] { return ask("/m/1", "k1").status == 200; }, 2s));
 }
 
+TEST_F(NodeTest, ANodeThatTheStoreTurnsAwayTrustsKeysThroughAPeer)
+{
+    const auto doorAt = Loopback::freeEndpoint();
+    auto &door = store.openDoor(doorAt);
+    Machine other{world, doorAt, "other", "catalogue"};
+    ASSERT_TRUE(world.runUntil([&] { return askAt(other, "/m/1", "k1").status == 200; }));
+    // Reports of both have been answered; from now on only peers bring word.
+    world.runFor(1s);
+    door.shut = true;
+    // Time to revocation is 2 s here.
+    for (auto round = 0; round < 8; ++round) {
+        world.runFor(500ms);
+        EXPECT_EQ(askAt(other, "/m/1", "k1").status, 200U) << round;
+    }
+}
+
+TEST_F(NodeTest, AKeyWithdrawnWhileTheStoreTurnsANodeAwayStopsThereInTime)
+{
+    const auto doorAt = Loopback::freeEndpoint();
+    auto &door = store.openDoor(doorAt);
+    Machine other{world, doorAt, "other", "catalogue"};
+    ASSERT_TRUE(world.runUntil([&] { return askAt(other, "/m/1", "k1").status == 200; }));
+    world.runFor(1s);
+    // The watch that waits already would still bring the change, as the real store cuts it then: so it is ended first.
+    door.shut = true;
+    store.put("op/other", base64("x"));
+    world.runFor(500ms);
+    store.put("op/config", configuration("0000000e", R"("k2")"));
+    // Time to revocation is 2 s here.
+    world.runFor(2s);
+    const auto before = back.instance.requests.size();
+    EXPECT_EQ(askAt(other, "/m/1", "k1").status, 503U);
+    EXPECT_EQ(askAt(other, "/m/1", "k2").status, 503U) << "no key of a configuration that peers know to be older";
+    EXPECT_EQ(back.instance.requests.size(), before);
+    door.shut = false;
+    EXPECT_TRUE(world.runUntil([&] { return askAt(other, "/m/1", "k2").status == 200; }, 2s));
+    EXPECT_EQ(askAt(other, "/m/1", "k1").status, 401U);
+}
+
 TEST_F(NodeTest, WorkStopsAtTheInstanceWhenTheClientLeaves)
 {
     back.instance.answersAtOnce = false;
--- a/test/support/platform_store.hpp
+++ b/test/support/platform_store.hpp
@@ -8,7 +8,10 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <list>
 #include <map>
+#include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -22,21 +25,41 @@
 class PlatformStore
 {
 public:
+    /*! @brief One address of the store, so that some nodes can be turned away. */
+    struct Door {
+        bool shut{}; /*!< Whether calls at this address are answered with 503 and nothing is done. */
+        std::unique_ptr<sidecar::HttpServer> server;
+    };
+
     PlatformStore(event::Loop &loop, const event::Endpoint &on)
         : loop_{&loop}
-        , server_{loop,
-                  {[this](const mesh::Request &request, sidecar::HttpServer::Respond respond) {
-                       answer(request, std::move(respond));
-                       return std::uint64_t{0};
-                   },
-                   [](std::uint64_t) {},
-                   [] {
-                       return mesh::Limits{};
-                   }}}
     {
-        if (const auto error = server_.open(on)) {
+        openDoor(on);
+    }
+
+    /*! @brief Opens another address. */
+    auto openDoor(const event::Endpoint &on) -> Door &
+    {
+        auto &door = doors_.emplace_back();
+        door.server = std::make_unique<sidecar::HttpServer>(
+            *loop_,
+            sidecar::HttpServer::Hooks{
+                [this, &door](const mesh::Request &request, sidecar::HttpServer::Respond respond) {
+                    if (door.shut) {
+                        respond({503, {}, {}, {}});
+                    } else {
+                        answer(request, std::move(respond));
+                    }
+                    return std::uint64_t{0};
+                },
+                [](std::uint64_t) {},
+                [] {
+                    return mesh::Limits{};
+                }});
+        if (const auto error = door.server->open(on)) {
             throw std::runtime_error{*error};
         }
+        return door;
     }
 
     /*! @brief Writes an item as the operator would. */
@@ -152,7 +175,7 @@
     std::uint64_t revision_{10};
     std::uint64_t lastLease_{};
     std::uint64_t lastWatch_{};
-    sidecar::HttpServer server_;
+    std::list<Door> doors_;
 };
 
 } // namespace jasminelatch::test
