Placement: the own failure domain may take longer by a part of the run time

An instance of another domain cost 4 ms, nothing beside a run time of 230 ms and a random factor of a fifth.

--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -149,8 +149,11 @@
     const auto load = (static_cast<double>(told + sentSince) + 1.0) / limit;
     // Below the limit a request starts at once; crowding still costs a little, so that load spreads.
     const auto waiting = load <= 1.0 ? 0.5 * load * load : 0.5 + settings_.queueCost * (load - 1.0);
-    const auto distance = track.member.domain == ownDomain_ ? Duration::zero() : settings_.otherDomainCost;
-    return runTime * (1.0 + waiting) + static_cast<double>(distance.count());
+    const auto time = runTime * (1.0 + waiting);
+    if (track.member.domain == ownDomain_) {
+        return time;
+    }
+    return time + settings_.otherDomainPart * runTime + static_cast<double>(settings_.otherDomainCost.count());
 }
 
 auto Placement::noteLoad(Track &track, const InstanceLoad &load) -> void
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -17,7 +17,7 @@
 namespace jasminelatch::mesh {
 
 /**
- * @brief Chooses the instance for a request: the one expected to finish it first.
+ * @brief Chooses the instance for a request: the one expected to finish it first, near ones before far ones.
  *
  * Load pattern: instances of a service differ in speed up to threefold, start cold, fill up and fail one by one.
  * A record of the store says who is there; reports of nodes say how busy they are; this node adds what it has sent.
@@ -28,6 +28,8 @@
     /*! @brief Settings of the choice. */
     struct Settings {
         Duration otherDomainCost{std::chrono::milliseconds{4}}; /*!< Run time that leaving the own domain is worth. */
+        double otherDomainPart{0.4}; /*!< Part of its run time by which a request may take longer in the own domain: twice
+                                        the random factor, so that bytes stay there while it copes. */
         double coldFactor{2.0}; /*!< Run time of a cold instance relative to a warm one. */
         Duration firstAvoidance{std::chrono::milliseconds{500}}; /*!< Pause after a failure; doubles in a row. */
         Duration longestAvoidance{std::chrono::seconds{8}}; /*!< Longest pause. */
--- a/test/jasminelatch/mesh/placement.cpp
+++ b/test/jasminelatch/mesh/placement.cpp
@@ -93,6 +93,19 @@
     EXPECT_NE(placement.choose("vistas", {}, start + 10s), nullptr);
 }
 
+TEST(Placement, KeepsToTheOwnFailureDomainWhileItCopes)
+{
+    // Bytes between failure domains are priced, and instances differ in speed: the grown Hielo del Valle.
+    Placement placement{{}, "a", 1};
+    placement.setMember(member("near", "a"), start);
+    placement.setMember(member("far", "b"), start);
+    placement.applyReport(report("near", {10, 0, 32, 230ms}));
+    placement.applyReport(report("far", {10, 0, 32, 220ms}));
+    EXPECT_GT(chosen(placement, 1000)["near"], 900);
+    placement.applyReport(report("near", {32, 8, 32, 230ms}));
+    EXPECT_GT(chosen(placement, 1000)["far"], 900);
+}
+
 TEST(Placement, AReportOfAnEarlierStartChangesNothing)
 {
     Placement placement{{}, "a", 1};
