Nodes tell peers of themselves; records are listed now and then; silent peers are no room

Records only have to show a node that starts whom to connect to. Records that come by two ways are ordered by start and version. What a peer passes on of the store is the revision of the configuration, so that other changes don't hold trust in keys up. A peer that is not listed is kept while it answers.

Without the watch a lost VM is found later, and it was counted as room until its lease had run out: a peer that does not answer is now no room and chosen last, at the next report.

--- a/src/jasminelatch/mesh/freshness.hpp
+++ b/src/jasminelatch/mesh/freshness.hpp
@@ -9,9 +9,9 @@
 
 namespace jasminelatch::mesh {
 
-/*! @brief Word of the store, from itself or passed on by a peer: at `at`, no change after `revision` was acknowledged. */
+/*! @brief Word of the store, from itself or passed on by a peer: at `at`, that was the configuration's last change. */
 struct StoreConfirmation {
-    std::uint64_t revision{}; /*!< Revision of the store. */
+    std::uint64_t revision{}; /*!< Revision of the store at that change; zero when there was none. */
     TimePoint at; /*!< Moment before the confirming call was sent, or earlier. */
 };
 
@@ -32,8 +32,8 @@
         double firstPatience{0.22}; /*!< Age at which the first node in order asks the store. */
         double patienceStep{0.09}; /*!< What each next node in order waits longer, so that it hears of the answer. */
         double longestPatience{0.5}; /*!< Age at which every node asks; leaves time for a second call. */
-        Duration lag{std::chrono::milliseconds{800}}; /*!< Time in which changes that a peer knows of should have come
-                                                         with the own watch. */
+        Duration lag{std::chrono::milliseconds{800}}; /*!< Time in which a change that a peer knows of should have come
+                                                         with the own watch, its pause included. */
     };
 
     /**
@@ -50,7 +50,7 @@
     auto confirm(const StoreConfirmation &word, TimePoint now) -> void;
 
     /**
-     * @brief Notes that every change up to a revision has been applied.
+     * @brief Notes that every change of the configuration up to a revision has been applied.
      * @param revision The revision.
      */
     auto applied(std::uint64_t revision) -> void;
--- a/src/jasminelatch/mesh/member.cpp
+++ b/src/jasminelatch/mesh/member.cpp
@@ -2,8 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include <tuple>
+
 namespace jasminelatch::mesh {
 
+auto isOlder(const Member &left, const Member &right) -> bool
+{
+    return std::tie(left.incarnation, left.version) < std::tie(right.incarnation, right.version);
+}
+
 auto encodeMember(const Member &member) -> std::string
 {
     const nlohmann::json json{{"name", member.name},
@@ -14,7 +21,8 @@
                               {"instance", member.instanceId},
                               {"slots", member.slots},
                               {"accepting", member.accepting},
-                              {"coldForMs", member.coldFor.count() / 1000}};
+                              {"coldForMs", member.coldFor.count() / 1000},
+                              {"version", member.version}};
     return json.dump();
 }
 
@@ -34,7 +42,8 @@
                       json.at("instance").get<std::string>(),
                       json.at("slots").get<std::uint32_t>(),
                       json.at("accepting").get<bool>(),
-                      std::chrono::milliseconds{json.at("coldForMs").get<std::int64_t>()}};
+                      std::chrono::milliseconds{json.at("coldForMs").get<std::int64_t>()},
+                      json.value("version", std::uint64_t{0})};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/src/jasminelatch/mesh/member.hpp
+++ b/src/jasminelatch/mesh/member.hpp
@@ -16,7 +16,7 @@
 
 namespace jasminelatch::mesh {
 
-/*! @brief Node as its record in the store describes it. */
+/*! @brief Node as its record describes it, in the store and in its first report to each peer. */
 struct Member {
     std::string name; /*!< Name of the VM. */
     std::uint64_t incarnation{}; /*!< Differs with every start of the node; grows with time. */
@@ -27,10 +27,19 @@
     std::uint32_t slots{}; /*!< Requests that the instance runs at once. */
     bool accepting{}; /*!< Whether new requests may be sent there. */
     Duration coldFor{}; /*!< Time for which the instance stays slow, when the record was written. */
+    std::uint64_t version{}; /*!< Grows with every change of the record since the node's start. */
 
     auto operator==(const Member &) const -> bool = default;
 };
 
+/**
+ * @brief Tells which of two records of one node is the older one; they come by more than one way.
+ * @param left One record.
+ * @param right The other one.
+ * @return Whether `left` is older.
+ */
+[[nodiscard]] auto isOlder(const Member &left, const Member &right) -> bool;
+
 /**
  * @brief Writes a member's record.
  * @param member The member.
@@ -57,6 +66,7 @@
     /*! @brief Requests that clients offered since the start, by kind; unchanged counts are left out. */
     std::map<std::string, std::uint64_t> offered;
     std::vector<RouteProfile> profiles; /*!< What runs at the local instance cost; empty in most reports. */
+    std::optional<Member> member; /*!< Record of the node; in the first report on a connection and after a change. */
 };
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -132,7 +132,8 @@
                          encodeLoad(report.load),
                          report.admitted,
                          report.offered,
-                         encodeProfiles(report.profiles)}),
+                         encodeProfiles(report.profiles),
+                         report.member ? encodeMember(*report.member) : std::string{}}),
             {}};
 }
 
@@ -183,6 +184,7 @@
 
 auto decodeReport(const Json &json) -> ReportMessage
 {
+    const auto member = json.at(9).get<std::string>();
     return {{json.at(1).get<std::string>(),
              json.at(2).get<std::uint64_t>(),
              json.at(3).get<std::string>(),
@@ -190,7 +192,8 @@
              decodeLoad(json.at(5)),
              json.at(6).get<std::map<std::string, std::uint64_t>>(),
              json.at(7).get<std::map<std::string, std::uint64_t>>(),
-             decodeProfiles(json.at(8))}};
+             decodeProfiles(json.at(8)),
+             member.empty() ? std::nullopt : decodeMember(member)}};
 }
 
 auto decodeReceived(const Json &json) -> ReportReceived
--- a/src/jasminelatch/mesh/peer_message.hpp
+++ b/src/jasminelatch/mesh/peer_message.hpp
@@ -45,7 +45,7 @@
 
 /*! @brief Answer to a report; passes on how the store last confirmed the configuration. */
 struct ReportReceived {
-    std::uint64_t revision{}; /*!< Revision of the store. */
+    std::uint64_t revision{}; /*!< Revision of the configuration's last change. */
     std::optional<Duration> age; /*!< Age of that word when this answer was written; nothing before the first word. */
 };
 
--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -32,6 +32,13 @@
     tracks_.erase(name);
 }
 
+auto Placement::setReachable(const std::string &name, const bool answers) -> void
+{
+    if (const auto found = tracks_.find(name); found != tracks_.end()) {
+        found->second.isReachable = answers;
+    }
+}
+
 auto Placement::applyReport(const NodeReport &report) -> void
 {
     const auto found = tracks_.find(report.name);
@@ -53,7 +60,7 @@
     for (const auto &[name, track] : tracks_) {
         if (track.member.service == service && track.member.accepting
             && std::ranges::find(exclude, name) == exclude.end()) {
-            (track.avoidedUntil > now ? avoided : healthy).push_back(&track);
+            (track.avoidedUntil > now || !track.isReachable ? avoided : healthy).push_back(&track);
         }
     }
     // Never all instances of a service at once are avoided.
@@ -113,7 +120,7 @@
 {
     ServiceRoom room;
     for (const auto &[name, track] : tracks_) {
-        if (track.member.service == service && track.member.accepting) {
+        if (track.member.service == service && track.member.accepting && track.isReachable) {
             room.limit += track.load.limit > 0 ? track.load.limit : track.member.slots;
             room.running += track.load.running;
             room.queued += track.load.queued;
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -60,6 +60,13 @@
      */
     auto removeMember(const std::string &name) -> void;
 
+    /**
+     * @brief Notes whether a member's node answers; one that doesn't counts as no room and is chosen last.
+     * @param name Name of its VM.
+     * @param answers Whether it has answered lately.
+     */
+    auto setReachable(const std::string &name, bool answers) -> void;
+
     /**
      * @brief Takes in a node's report on its instance.
      * @param report The report.
@@ -92,7 +99,7 @@
     auto finished(const std::string &name, bool failed, const InstanceLoad &load, TimePoint now) -> void;
 
     /**
-     * @brief Adds up the room at the instances of a service that accept requests.
+     * @brief Adds up the room at the instances of a service that accept requests and can be reached.
      * @param service Name of the service.
      * @return The room.
      */
@@ -108,6 +115,7 @@
         std::uint32_t failures{};
         std::uint32_t avoidances{};
         TimePoint avoidedUntil;
+        bool isReachable{true};
     };
 
     [[nodiscard]] auto usualRunTime(const std::string &service) const -> Duration;
--- a/src/jasminelatch/sidecar/dialect.hpp
+++ b/src/jasminelatch/sidecar/dialect.hpp
@@ -53,7 +53,8 @@
 
 /*! @brief Requests to the store and the reading of their answers. */
 struct StoreProtocol {
-    std::function<mesh::Request(std::string_view prefix, std::string_view after)> list;
+    /*! @brief Lists a page of items; one that may be seconds old costs the store little. */
+    std::function<mesh::Request(std::string_view prefix, std::string_view after, bool mayBeOld)> list;
     std::function<mesh::Request(std::string_view prefix, std::uint64_t after, Duration wait)> watch;
     std::function<std::optional<StoreView>(const mesh::Answer &answer)> readView;
     std::function<mesh::Request(Duration timeToLive)> grantLease;
--- a/src/jasminelatch/sidecar/fleet_keeper.cpp
+++ b/src/jasminelatch/sidecar/fleet_keeper.cpp
@@ -20,11 +20,6 @@
     return std::string{recordPrefix} + name;
 }
 
-auto nameOf(const std::string &key) -> std::string
-{
-    return key.substr(recordPrefix.size());
-}
-
 auto isOk(const HttpConnection::Result &result) -> bool
 {
     return result.answer && result.answer->status == statusOk;
@@ -47,12 +42,14 @@
     , freshness_{{.validity = settings.keyValidity}}
     , random_{std::random_device{}()}
     , pause_{settings.firstPause}
+    , listPause_{settings.firstListPause}
 {
 }
 
 auto FleetKeeper::start() -> void
 {
     list({});
+    listRecordsLater();
     checkLater();
 }
 
@@ -104,12 +101,12 @@
 {
     if (after.empty()) {
         isListing_ = true;
-        listing_.clear();
+        names_.clear();
         listedAt_.reset();
     }
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.list");
-    watchChannel_.call(context_.dialect.store.list({}, after),
+    watchChannel_.call(context_.dialect.store.list({}, after, false),
                        settings_.callTimeout,
                        [this, sentAt](const auto &result) { listed(result, sentAt); });
 }
@@ -127,7 +124,6 @@
         listedAt_ = {view->revision, sentAt};
     }
     for (const auto &item : view->items) {
-        listing_.insert(item.key);
         apply(item);
     }
     if (view->hasMore && !view->items.empty()) {
@@ -139,27 +135,77 @@
 
 auto FleetKeeper::finishListing() -> void
 {
-    const auto known = known_;
-    for (const auto &key : known) {
-        if (!listing_.contains(key)) {
-            known_.erase(key);
-            hooks_.memberRemoved(internal::nameOf(key));
-        }
-    }
-    listing_.clear();
     isListing_ = false;
+    tellListed();
     revision_ = listedAt_->revision;
-    freshness_.applied(revision_);
-    freshness_.confirm(*listedAt_, context_.loop.now());
+    freshness_.applied(configurationRevision_);
+    freshness_.confirm({configurationRevision_, listedAt_->at}, context_.loop.now());
     watch();
 }
 
+auto FleetKeeper::listRecordsLater() -> void
+{
+    const auto part = std::uniform_real_distribution{0.75, 1.0}(random_);
+    const auto pause = static_cast<double>(listPause_.count()) * part;
+    context_.loop.after(Duration{static_cast<Duration::rep>(pause)}, [this] {
+        // A listing of everything shows the records too.
+        if (!isListing_) {
+            listRecords({});
+        } else {
+            listRecordsLater();
+        }
+    });
+}
+
+auto FleetKeeper::listRecords(const std::string &after) -> void
+{
+    if (after.empty()) {
+        names_.clear();
+    }
+    context_.counters.add("store.list_records");
+    callChannel_.call(context_.dialect.store.list(internal::recordPrefix, after, true),
+                      settings_.callTimeout,
+                      [this](const auto &result) { recordsListed(result); });
+}
+
+auto FleetKeeper::recordsListed(const HttpConnection::Result &result) -> void
+{
+    const auto view = readView(result);
+    if (!view || isListing_) {
+        listRecordsLater();
+        return;
+    }
+    for (const auto &item : view->items) {
+        apply(item);
+    }
+    if (view->hasMore && !view->items.empty()) {
+        listRecords(view->items.back().key);
+        return;
+    }
+    tellListed();
+    const auto longest =
+        settings_.listInterval * static_cast<Duration::rep>(1 + names_.size() / settings_.listedPerInterval);
+    listPause_ = std::min<Duration>(listPause_ * 2, longest);
+    listRecordsLater();
+}
+
+auto FleetKeeper::tellListed() -> void
+{
+    hooks_.listed(names_);
+    // One listing may be older than the record.
+    const auto isMissing = own_ && !written_.empty() && !leaving_ && !names_.contains(own_->name);
+    if (std::exchange(ownWasMissing_, isMissing) && isMissing) {
+        written_.clear();
+        writeRecord();
+    }
+}
+
 auto FleetKeeper::watch() -> void
 {
     needsWatch_ = false;
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.watch");
-    watchChannel_.call(context_.dialect.store.watch({}, revision_, settings_.watchWait),
+    watchChannel_.call(context_.dialect.store.watch(context_.dialect.store.configurationKey, revision_, settings_.watchWait),
                        settings_.watchWait + settings_.callTimeout,
                        [this, sentAt](const auto &result) { watched(result, sentAt); });
 }
@@ -214,7 +260,7 @@
     isAsking_ = true;
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.ask");
-    askChannel_.call(context_.dialect.store.watch({}, revision_, internal::noWait),
+    askChannel_.call(context_.dialect.store.watch(context_.dialect.store.configurationKey, revision_, internal::noWait),
                      settings_.callTimeout,
                      [this, sentAt](const auto &result) { asked(result, sentAt); });
 }
@@ -257,8 +303,8 @@
         }
     }
     revision_ = std::max(revision_, view.revision);
-    freshness_.applied(revision_);
-    freshness_.confirm({view.revision, sentAt}, context_.loop.now());
+    freshness_.applied(configurationRevision_);
+    freshness_.confirm({configurationRevision_, sentAt}, context_.loop.now());
     return isNews;
 }
 
@@ -270,6 +316,7 @@
 auto FleetKeeper::apply(const StoreItem &item) -> void
 {
     if (item.key == context_.dialect.store.configurationKey) {
+        configurationRevision_ = std::max(configurationRevision_, item.revision);
         if (!item.removed) {
             applyConfiguration(item);
         }
@@ -278,24 +325,13 @@
     if (!item.key.starts_with(internal::recordPrefix)) {
         return;
     }
-    if (item.removed) {
-        if (known_.erase(item.key) > 0) {
-            hooks_.memberRemoved(internal::nameOf(item.key));
-        }
-        if (own_ && item.key == internal::recordKey(own_->name) && !leaving_) {
-            // The lease has run out while the store was away.
-            written_.clear();
-            writeRecord();
-        }
-        return;
-    }
     const auto member = mesh::decodeMember(item.value);
     if (!member || item.key != internal::recordKey(member->name)) {
         context_.log.write("record_unreadable", {{"key", item.key}, {"revision", item.revision}});
         return;
     }
-    known_.insert(item.key);
-    hooks_.memberChanged(*member);
+    names_.insert(member->name);
+    hooks_.memberListed(*member);
 }
 
 auto FleetKeeper::applyConfiguration(const StoreItem &item) -> void
@@ -339,6 +375,9 @@
         context_.log.write("store_regained", nlohmann::json::object());
         if (written_.empty()) {
             writeRecord();
+        } else {
+            // The lease may have run out meanwhile.
+            renew();
         }
     }
 }
@@ -368,16 +407,24 @@
 auto FleetKeeper::scheduleRenewal() -> void
 {
     context_.loop.after(settings_.renewInterval, [this, lease = lease_] {
-        if (lease != lease_ || leaving_) {
-            return;
+        if (lease == lease_ && !leaving_) {
+            renew();
         }
-        context_.counters.add("store.renew");
-        callChannel_.call(context_.dialect.store.renewLease(lease_), settings_.callTimeout, [this](const auto &result) {
-            renewed(result);
-        });
     });
 }
 
+auto FleetKeeper::renew() -> void
+{
+    context_.counters.add("store.renew");
+    callChannel_.call(context_.dialect.store.renewLease(lease_),
+                      settings_.callTimeout,
+                      [this, lease = lease_](const auto &result) {
+                          if (lease == lease_) {
+                              renewed(result);
+                          }
+                      });
+}
+
 auto FleetKeeper::renewed(const HttpConnection::Result &result) -> void
 {
     if (internal::statusOf(result) == internal::statusNotFound) {
--- a/src/jasminelatch/sidecar/fleet_keeper.hpp
+++ b/src/jasminelatch/sidecar/fleet_keeper.hpp
@@ -24,9 +24,12 @@
 /**
  * @brief Keeps this node's record in the store, and follows the records of the others and the configuration.
  *
- * One long watch a node covers records and configuration. It brings changes at once but confirms nothing while it waits
+ * One long watch a node covers the configuration. It brings changes at once but confirms nothing while it waits
  * and may have gone silent; so short calls ask now and then whether there is more, which is what lets keys be trusted.
  * Peers pass their answers on, and only few nodes need to ask.
+ *
+ * Records only show a node that starts whom to connect to: nodes tell their peers of themselves. So they are listed at
+ * the start and then now and then, from a cheap copy that may be old.
  */
 class FleetKeeper
 {
@@ -41,15 +44,21 @@
         Duration firstPause{std::chrono::milliseconds{200}}; /*!< Pause after a failed call; doubles. */
         Duration longestPause{std::chrono::milliseconds{1000}}; /*!< Longest pause, so that all are back in 2 s. */
         Duration gatherTime{std::chrono::milliseconds{300}}; /*!< Pause after changes, so that more come at once; short
-                                                                beside the time in which a configuration is due. */
+                                                                beside the 2 s in which a configuration is due. */
+        Duration firstListPause{std::chrono::milliseconds{1500}}; /*!< Pause after the first listing of records; doubles:
+                                                                     nodes that start together miss one another. */
+        Duration listInterval{std::chrono::seconds{10}}; /*!< Longest pause in a small fleet: the time of a lease. */
+        std::size_t listedPerInterval{100}; /*!< Records that make it that much longer, so that a node reads the same
+                                               number of bytes a second in a large fleet. */
         Duration keyValidity{}; /*!< Time for which a confirmation lets keys be trusted. */
     };
 
     /*! @brief What the keeper calls. */
     struct Hooks {
         std::function<void(mesh::Configuration configuration)> configured; /*!< A newer configuration. */
-        std::function<void(const mesh::Member &member)> memberChanged; /*!< A node has a record, new or changed. */
-        std::function<void(const std::string &name)> memberRemoved; /*!< A node's record is gone. */
+        std::function<void(const mesh::Member &member)> memberListed; /*!< A node has a record. */
+        /*! @brief Names of all nodes that have a record; may be seconds old. */
+        std::function<void(const std::set<std::string> &names)> listed;
     };
 
     /*! @brief What the keeper depends on; all of it outlives the keeper. */
@@ -110,6 +119,10 @@
     auto list(const std::string &after) -> void;
     auto listed(const HttpConnection::Result &result, TimePoint sentAt) -> void;
     auto finishListing() -> void;
+    auto listRecordsLater() -> void;
+    auto listRecords(const std::string &after) -> void;
+    auto recordsListed(const HttpConnection::Result &result) -> void;
+    auto tellListed() -> void;
     auto watch() -> void;
     auto watched(const HttpConnection::Result &result, TimePoint sentAt) -> void;
     auto restartWatch() -> void;
@@ -126,6 +139,7 @@
     auto ensureLease() -> void;
     auto leaseGranted(const HttpConnection::Result &result) -> void;
     auto scheduleRenewal() -> void;
+    auto renew() -> void;
     auto renewed(const HttpConnection::Result &result) -> void;
     auto writeRecord() -> void;
     auto recordWritten(const HttpConnection::Result &result, const std::string &written) -> void;
@@ -141,7 +155,8 @@
     std::mt19937_64 random_;
     Duration pause_;
     bool isReachable_{true};
-    std::uint64_t revision_{}; /*!< Every change up to it is applied. */
+    std::uint64_t revision_{}; /*!< Every change of the configuration up to it is applied. */
+    std::uint64_t configurationRevision_{}; /*!< Revision of the configuration's last change. */
     std::optional<mesh::StoreConfirmation> listedAt_; /*!< Word of the first page of the listing under way. */
     bool isListing_{true};
     bool isAsking_{};
@@ -151,8 +166,9 @@
     std::size_t order_{};
     std::uint64_t configurationVersion_{};
     bool hasConfiguration_{};
-    std::set<std::string> listing_; /*!< Keys seen by the listing under way. */
-    std::set<std::string> known_; /*!< Keys of the records of nodes. */
+    std::set<std::string> names_; /*!< Nodes seen by the listing under way. */
+    Duration listPause_;
+    bool ownWasMissing_{}; /*!< Whether the listing before did not show this node's record. */
 
     std::optional<mesh::Member> own_;
     std::string written_;
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -30,8 +30,6 @@
 /*! @brief Part of a cap's allowed excess that is used up by requests unseen between nodes; the rest is for late
  * reports. */
 constexpr double capDebtPart = 0.65;
-/*! @brief Time for which a node without a record is kept while its link is alive. */
-constexpr Duration unlistedTime = std::chrono::seconds{3};
 /*! @brief Time for which a stopping node still takes requests: two readiness checks must see it first. */
 constexpr Duration farewellTime = std::chrono::milliseconds{2600};
 /*! @brief Time for which a stopping node still passes requests on to its instance, which may well stay. */
@@ -100,8 +98,8 @@
               internal::keeperSettings(settings_),
               {[this](mesh::Configuration configuration) { configured(std::move(configuration)); },
                [this](const mesh::Member &member) { memberChanged(member); },
-               [this](const std::string &name) {
-                   memberRemoved(name);
+               [this](const std::set<std::string> &names) {
+                   dropUnlisted(names);
                }}}
     , entry_{{loop, dialect_, log_, counters_, placement_, caps_, repeats_, admission_, learner_},
              settings_.service,
@@ -222,7 +220,15 @@
 auto Node::applyInstanceReport(const mesh::InstanceReport &report) -> void
 {
     const auto before = ownMember();
-    if (instance_.report(report) && ownMember() != before) {
+    if (!instance_.report(report)) {
+        return;
+    }
+    auto after = ownMember();
+    if (after.coldFor < before.coldFor) {
+        // Peers know for how long it stays slow; nothing has to be written when that is over.
+        after.coldFor = before.coldFor;
+    }
+    if (after != before) {
         publish();
     }
 }
@@ -270,15 +276,11 @@
         dropPeer(member.name);
         return;
     }
-    if (const auto removal = removals_.find(member.name); removal != removals_.end()) {
-        loop_->cancel(removal->second);
-        removals_.erase(removal);
-    }
     auto &peer = peers_[member.name];
-    const auto isOther = !peer.link || peer.member.address != member.address;
-    if (!isOther && peer.member.incarnation > member.incarnation) {
+    if (peer.link && !mesh::isOlder(peer.member, member)) {
         return;
     }
+    const auto isOther = !peer.link || peer.member.address != member.address;
     if (!isOther && peer.member.incarnation < member.incarnation) {
         // Whatever was under way at the earlier process is lost with it.
         peer.link->fail();
@@ -309,18 +311,18 @@
     }
 }
 
-auto Node::memberRemoved(const std::string &name) -> void
+auto Node::dropUnlisted(const std::set<std::string> &names) -> void
 {
-    const auto found = peers_.find(name);
-    if (found == peers_.end() || removals_.contains(name)) {
-        return;
+    // The listing may be older than a record, and leases run out while the store is away: a node that answers is kept.
+    std::vector<std::string> gone;
+    for (const auto &[name, peer] : peers_) {
+        if (!names.contains(name) && !peer.link->isAlive()) {
+            gone.push_back(name);
+        }
     }
-    // Leases may run out while the store is away; a node that still answers is kept until it had time to come back.
-    const auto delay = found->second.link->isAlive() ? internal::unlistedTime : Duration::zero();
-    removals_[name] = loop_->after(delay, [this, name] {
-        removals_.erase(name);
+    for (const auto &name : gone) {
         dropPeer(name);
-    });
+    }
 }
 
 auto Node::dropPeer(const std::string &name) -> void
@@ -345,6 +347,9 @@
 
 auto Node::applyReport(const mesh::NodeReport &report) -> void
 {
+    if (report.member && report.member->name == report.name) {
+        memberChanged(*report.member);
+    }
     placement_.applyReport(report);
     caps_.applyReport(report, loop_->now());
     admission_.applyReport(report, loop_->now());
@@ -352,6 +357,7 @@
 
 auto Node::publish() -> void
 {
+    ++recordVersion_;
     const auto member = ownMember();
     if (!stoppingSince_) {
         placement_.setMember(member, loop_->now());
@@ -367,6 +373,9 @@
     placement_.applyReport(report);
     admission_.applyReport(report, loop_->now());
     auto changes = report;
+    if (std::exchange(toldVersion_, recordVersion_) == recordVersion_) {
+        changes.member.reset();
+    }
     internal::keepChanges(changes.admitted, toldAdmitted_);
     internal::keepChanges(changes.offered, toldOffered_);
     const auto changesFrame = mesh::encodeFrame(mesh::ReportMessage{std::move(changes)}, loop_->now());
@@ -414,6 +423,9 @@
     fadedAt_ = now;
     sendReports();
     keeper_.setOrder(orderAmongLive());
+    for (const auto &[name, peer] : peers_) {
+        placement_.setReachable(name, peer.link->isAlive());
+    }
     admission_.update([this](const std::string &service) { return placement_.room(service); }, now);
     logPlan(now);
 }
@@ -481,7 +493,8 @@
             instance.id,
             instance.slots,
             instance_.isAccepting(),
-            instance.coldFor > Duration::zero() ? internal::coldStep : Duration::zero()};
+            instance.coldFor > Duration::zero() ? internal::coldStep : Duration::zero(),
+            recordVersion_};
 }
 
 auto Node::ownReport() -> mesh::NodeReport
@@ -494,7 +507,8 @@
             instance_.load(),
             caps_.admitted(),
             admission_.offered(),
-            tellsProfiles ? learner_.profiles() : std::vector<mesh::RouteProfile>{}};
+            tellsProfiles ? learner_.profiles() : std::vector<mesh::RouteProfile>{},
+            ownMember()};
 }
 
 auto Node::reportInterval() const -> Duration
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace jasminelatch::sidecar {
@@ -80,7 +81,7 @@
     auto askInstance() -> void;
     auto applyInstanceReport(const mesh::InstanceReport &report) -> void;
     auto memberChanged(const mesh::Member &member) -> void;
-    auto memberRemoved(const std::string &name) -> void;
+    auto dropUnlisted(const std::set<std::string> &names) -> void;
     auto dropSuperseded(const mesh::Member &member) -> void;
     auto dropPeer(const std::string &name) -> void;
     auto peersChanged() -> void;
@@ -125,8 +126,9 @@
     std::shared_ptr<const mesh::ConfigurationIndex> configuration_;
     std::optional<mesh::Member> earlierRecord_; /*!< What the process before this one wrote. */
     std::map<std::string, Peer> peers_;
-    std::map<std::string, event::TimerId> removals_; /*!< Peers whose record is gone but whose link is alive. */
     std::optional<TimePoint> stoppingSince_;
+    std::uint64_t recordVersion_{1};
+    std::uint64_t toldVersion_{}; /*!< Version of the record that peers were told last. */
     std::uint64_t reportCount_{};
     std::map<std::string, std::uint64_t> toldAdmitted_; /*!< Counts that peers were told last. */
     std::map<std::string, std::uint64_t> toldOffered_;
--- a/src/jasminelatch/sidecar/peer_link.cpp
+++ b/src/jasminelatch/sidecar/peer_link.cpp
@@ -71,7 +71,7 @@
 
 auto PeerLink::isAlive() const -> bool
 {
-    return open_ && loop_->now() - heardAt_ < settings_.silence;
+    return open_ && (!awaitingSince_ || loop_->now() - *awaitingSince_ < settings_.silence);
 }
 
 auto PeerLink::fail() -> void
@@ -111,15 +111,13 @@
 auto PeerLink::opened() -> void
 {
     open_ = true;
-    heardAt_ = loop_->now();
     pause_ = settings_.firstPause;
 }
 
 auto PeerLink::receive(const std::span<const char> bytes) -> void
 {
-    heardAt_ = loop_->now();
     awaitingSince_.reset();
-    if (!reader_.feed(bytes, heardAt_, [this](mesh::PeerMessage message) { return take(std::move(message)); })) {
+    if (!reader_.feed(bytes, loop_->now(), [this](mesh::PeerMessage message) { return take(std::move(message)); })) {
         fail();
     }
 }
--- a/src/jasminelatch/sidecar/peer_link.hpp
+++ b/src/jasminelatch/sidecar/peer_link.hpp
@@ -77,7 +77,7 @@
      */
     auto sendReport(std::string_view changes, const std::function<std::string_view()> &whole) -> void;
 
-    /*! @brief Tells whether the peer has answered lately. */
+    /*! @brief Tells whether there is a connection on which no report has waited too long for its answer. */
     [[nodiscard]] auto isAlive() const -> bool;
 
     /*! @brief Ends the connection and every exchange on it. */
@@ -100,7 +100,6 @@
     std::uint64_t lastExchange_{};
     bool open_{};
     bool hasReported_{}; /*!< Whether this connection has carried a whole report. */
-    TimePoint heardAt_;
     std::optional<TimePoint> awaitingSince_; /*!< When the oldest unanswered report was sent. */
     std::deque<TimePoint> reportedAt_; /*!< When the reports that are not answered were sent; answers keep their order. */
     TimePoint retryAt_;
--- a/test/jasminelatch/mesh/placement.cpp
+++ b/test/jasminelatch/mesh/placement.cpp
@@ -93,6 +93,24 @@
     EXPECT_NE(placement.choose("vistas", {}, start + 10s), nullptr);
 }
 
+TEST(Placement, AnInstanceWhoseNodeDoesNotAnswerIsNoRoomAndComesLast)
+{
+    // Many VMs lose power at once: their records stay until the leases run out, ten seconds later.
+    Placement placement{{}, "a", 1};
+    placement.setMember(member("alive"), start);
+    placement.setMember(member("lost"), start);
+    placement.applyReport(report("alive", {30, 0, 32, 90ms}));
+    placement.applyReport(report("lost", {0, 0, 32, 40ms}));
+    placement.setReachable("lost", false);
+    EXPECT_EQ(placement.room("vistas").limit, 32.0);
+    EXPECT_EQ(placement.room("vistas").running, 30.0);
+    EXPECT_EQ(chosen(placement, 100)["alive"], 100);
+    placement.removeMember("alive");
+    EXPECT_NE(placement.choose("vistas", {}, start), nullptr) << "it may have come back";
+    placement.setReachable("lost", true);
+    EXPECT_EQ(placement.room("vistas").limit, 32.0);
+}
+
 TEST(Placement, KeepsToTheOwnFailureDomainWhileItCopes)
 {
     // Bytes between failure domains are priced, and instances differ in speed: the grown Hielo del Valle.
