--- a/src/jasminelatch/core/counters.cpp
+++ b/src/jasminelatch/core/counters.cpp
@@ -22,4 +22,18 @@
     return values_;
 }
 
+auto Counters::observe(const std::string_view name, const Duration time) -> void
+{
+    auto position = latencies_.find(name);
+    if (position == latencies_.end()) {
+        position = latencies_.try_emplace(std::string{name}).first;
+    }
+    position->second.add(time);
+}
+
+auto Counters::latencies() const noexcept -> const std::map<std::string, LatencyHistogram, std::less<>> &
+{
+    return latencies_;
+}
+
 } // namespace jasminelatch
--- a/src/jasminelatch/core/counters.hpp
+++ b/src/jasminelatch/core/counters.hpp
@@ -1,6 +1,9 @@
 #ifndef JASMINELATCH_CORE_COUNTERS_HPP
 #define JASMINELATCH_CORE_COUNTERS_HPP
 
+#include "clock.hpp"
+#include "latency_histogram.hpp"
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -10,7 +13,7 @@
 namespace jasminelatch {
 
 /**
- * @brief Named event counters of one node.
+ * @brief Named event counters and latencies of one node.
  *
  * Names are lower-case words joined by underscores, with the part in front and a dot between: `lease.taken_over`.
  */
@@ -37,8 +40,22 @@
      */
     [[nodiscard]] auto all() const noexcept -> const std::map<std::string, std::uint64_t, std::less<>> &;
 
+    /**
+     * @brief Counts how long something took.
+     * @param name Name of what took the time.
+     * @param time How long it took.
+     */
+    auto observe(std::string_view name, Duration time) -> void;
+
+    /**
+     * @brief Returns every latency.
+     * @return Histograms by name, in order of name.
+     */
+    [[nodiscard]] auto latencies() const noexcept -> const std::map<std::string, LatencyHistogram, std::less<>> &;
+
 private:
     std::map<std::string, std::uint64_t, std::less<>> values_;
+    std::map<std::string, LatencyHistogram, std::less<>> latencies_;
 };
 
 } // namespace jasminelatch
--- a/src/jasminelatch/mesh/call_learner.cpp
+++ b/src/jasminelatch/mesh/call_learner.cpp
@@ -88,7 +88,8 @@
     return profiles;
 }
 
-auto CallLearner::possibleParents(const TimePoint deadline) const -> std::pair<Runs::const_iterator, Runs::const_iterator>
+auto CallLearner::possibleParents(const TimePoint deadline) const
+    -> std::pair<Runs::const_iterator, Runs::const_iterator>
 {
     const auto first = running_.lower_bound(deadline - settings_.deadlineLate);
     const auto last = running_.upper_bound(deadline + settings_.deadlineEarly);
--- a/src/jasminelatch/mesh/call_learner.hpp
+++ b/src/jasminelatch/mesh/call_learner.hpp
@@ -21,11 +21,10 @@
 /**
  * @brief Learns which calls the runs of each route make.
  *
- * Load pattern: the narrow service lies hops below the entry, and calls name no parent. A call expires with the run that
- * makes it or earlier: it belongs to the runs under way at the instance whose deadline it shares, or to those that end
- * later where none does.
- * Among those it is shared out in proportion to the rate at which runs of their route were seen to make such calls;
- * repeated over many calls this settles on the rates under which the calls seen are likeliest.
+ * Load pattern: the narrow service lies hops below the entry, and calls name no parent. A call expires with the run
+ * that makes it or earlier: it belongs to the runs under way at the instance whose deadline it shares, or to those that
+ * end later where none does. Among those it is shared out in proportion to the rate at which runs of their route were
+ * seen to make such calls; repeated over many calls this settles on the rates under which the calls seen are likeliest.
  */
 class CallLearner
 {
@@ -38,8 +37,8 @@
                                                                  run's: both were cut to whole milliseconds. */
         Duration deadlineLate{std::chrono::milliseconds{12}}; /*!< And this much later: the time left is counted anew
                                                                  from when it arrives, at the instance and back here. */
-        double certainWeight{9.0}; /*!< Weight of a call with one possible parent beside one that is shared out: about as
-                                      many are ambiguous, and each spreads over all routes under way. */
+        double certainWeight{9.0}; /*!< Weight of a call with one possible parent beside one that is shared out: about
+                                      as many are ambiguous, and each spreads over all routes under way. */
     };
 
     explicit CallLearner(Settings settings);
--- a/src/jasminelatch/mesh/freshness.hpp
+++ b/src/jasminelatch/mesh/freshness.hpp
@@ -16,12 +16,13 @@
 };
 
 /**
- * @brief Tells for how long keys may be trusted after the store last confirmed the configuration, and when to ask again.
+ * @brief Tells for how long keys may be trusted after the store last confirmed the configuration, and when to ask
+ * again.
  *
  * Load patterns: keys are withdrawn while this node can't reach the store; and a large fleet that asks the store one by
- * one would be its main load. A confirmation counts from the moment before the confirming call was sent, since an answer
- * may be late. Peers pass theirs on; one counts only once this node has applied every change that it covers. Few nodes
- * ask the store often, and the others only when they hear nothing from those.
+ * one would be its main load. A confirmation counts from the moment before the confirming call was sent, since an
+ * answer may be late. Peers pass theirs on; one counts only once this node has applied every change that it covers. Few
+ * nodes ask the store often, and the others only when they hear nothing from those.
  */
 class Freshness
 {
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -28,8 +28,8 @@
     /*! @brief Settings of the choice. */
     struct Settings {
         Duration otherDomainCost{std::chrono::milliseconds{4}}; /*!< Run time that leaving the own domain is worth. */
-        double otherDomainPart{0.4}; /*!< Part of its run time by which a request may take longer in the own domain: twice
-                                        the random factor, so that bytes stay there while it copes. */
+        double otherDomainPart{0.4}; /*!< Part of its run time by which a request may take longer in the own domain:
+                                        twice the random factor, so that bytes stay there while it copes. */
         double coldFactor{2.0}; /*!< Run time of a cold instance relative to a warm one. */
         Duration firstAvoidance{std::chrono::milliseconds{500}}; /*!< Pause after a failure; doubles in a row. */
         Duration longestAvoidance{std::chrono::seconds{8}}; /*!< Longest pause. */
--- a/src/jasminelatch/sidecar/entry.cpp
+++ b/src/jasminelatch/sidecar/entry.cpp
@@ -338,6 +338,7 @@
 {
     const auto found = attempts_.find(name);
     context_.loop.cancel(found->second.timer);
+    context_.counters.observe("entry.request_time", context_.loop.now() - found->second.startedAt);
     const auto respond = std::move(found->second.respond);
     attempts_.erase(found);
     respond(std::move(answer));
--- a/src/jasminelatch/sidecar/fleet_keeper.cpp
+++ b/src/jasminelatch/sidecar/fleet_keeper.cpp
@@ -205,9 +205,10 @@
     needsWatch_ = false;
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.watch");
-    watchChannel_.call(context_.dialect.store.watch(context_.dialect.store.configurationKey, revision_, settings_.watchWait),
-                       settings_.watchWait + settings_.callTimeout,
-                       [this, sentAt](const auto &result) { watched(result, sentAt); });
+    watchChannel_.call(
+        context_.dialect.store.watch(context_.dialect.store.configurationKey, revision_, settings_.watchWait),
+        settings_.watchWait + settings_.callTimeout,
+        [this, sentAt](const auto &result) { watched(result, sentAt); });
 }
 
 auto FleetKeeper::watched(const HttpConnection::Result &result, const TimePoint sentAt) -> void
@@ -268,6 +269,7 @@
 auto FleetKeeper::asked(const HttpConnection::Result &result, const TimePoint sentAt) -> void
 {
     isAsking_ = false;
+    context_.counters.observe("store.ask_time", context_.loop.now() - sentAt);
     if (isListing_) {
         return;
     }
@@ -416,13 +418,12 @@
 auto FleetKeeper::renew() -> void
 {
     context_.counters.add("store.renew");
-    callChannel_.call(context_.dialect.store.renewLease(lease_),
-                      settings_.callTimeout,
-                      [this, lease = lease_](const auto &result) {
-                          if (lease == lease_) {
-                              renewed(result);
-                          }
-                      });
+    callChannel_.call(
+        context_.dialect.store.renewLease(lease_), settings_.callTimeout, [this, lease = lease_](const auto &result) {
+            if (lease == lease_) {
+                renewed(result);
+            }
+        });
 }
 
 auto FleetKeeper::renewed(const HttpConnection::Result &result) -> void
--- a/src/jasminelatch/sidecar/fleet_keeper.hpp
+++ b/src/jasminelatch/sidecar/fleet_keeper.hpp
@@ -45,8 +45,9 @@
         Duration longestPause{std::chrono::milliseconds{1000}}; /*!< Longest pause, so that all are back in 2 s. */
         Duration gatherTime{std::chrono::milliseconds{300}}; /*!< Pause after changes, so that more come at once; short
                                                                 beside the 2 s in which a configuration is due. */
-        Duration firstListPause{std::chrono::milliseconds{1500}}; /*!< Pause after the first listing of records; doubles:
-                                                                     nodes that start together miss one another. */
+        Duration firstListPause{
+            std::chrono::milliseconds{1500}}; /*!< Pause after the first listing of records; doubles:
+                                                 nodes that start together miss one another. */
         Duration listInterval{std::chrono::seconds{10}}; /*!< Longest pause in a small fleet: the time of a lease. */
         std::size_t listedPerInterval{100}; /*!< Records that make it that much longer, so that a node reads the same
                                                number of bytes a second in a large fleet. */
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -97,6 +97,7 @@
     auto &entry = entries_[name];
     entry.request = std::move(request);
     entry.finished = std::move(finished);
+    entry.submittedAt = now;
     const auto refuse = [&](const mesh::HopReason reason, const Duration retryAfter) {
         context_.loop.defer([this, name, answer = refusal(reason, retryAfter)] { reply(name, answer); });
     };
@@ -164,6 +165,7 @@
     auto &entry = found->second;
     auto &hop = entry.request;
     entry.startedAt = context_.loop.now();
+    context_.counters.observe("instance.wait_time", entry.startedAt - entry.submittedAt);
     if (!breaker_.mayRun(hop.idempotent, entry.startedAt)) {
         holdBack(name);
         return;
@@ -205,6 +207,7 @@
 auto LocalInstance::answered(const std::uint64_t name, HttpConnection::Result result) -> void
 {
     const auto runTime = context_.loop.now() - entries_.at(name).startedAt;
+    context_.counters.observe("instance.run_time", runTime);
     runEnded(entries_.at(name));
     noteLife(result);
     auto word = judge(std::move(result));
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -100,6 +100,7 @@
     struct Entry {
         mesh::HopRequest request;
         Finished finished;
+        TimePoint submittedAt;
         TimePoint startedAt;
         std::uint64_t sending{}; /*!< Name in the pool; zero while it waits. */
         event::TimerId deadlineTimer{};
--- a/src/jasminelatch/sidecar/metrics_text.cpp
+++ b/src/jasminelatch/sidecar/metrics_text.cpp
@@ -22,6 +22,16 @@
         const auto metric = internal::metricName(name) + "_total";
         text << "# TYPE " << metric << " counter\n" << metric << ' ' << value << '\n';
     }
+    for (const auto &[name, latency] : counters.latencies()) {
+        const auto metric = internal::metricName(name) + "_seconds";
+        text << "# TYPE " << metric << " histogram\n";
+        for (const auto &bucket : latency.buckets()) {
+            text << metric << "_bucket{le=\"" << bucket.seconds << "\"} " << bucket.count << '\n';
+        }
+        text << metric << "_bucket{le=\"+Inf\"} " << latency.count() << '\n'
+             << metric << "_sum " << std::chrono::duration<double>(latency.sum()).count() << '\n'
+             << metric << "_count " << latency.count() << '\n';
+    }
     for (const auto &[name, value] : gauges) {
         const auto metric = internal::metricName(name);
         text << "# TYPE " << metric << " gauge\n" << metric << ' ' << value << '\n';
--- a/src/jasminelatch/sidecar/peer_link.hpp
+++ b/src/jasminelatch/sidecar/peer_link.hpp
@@ -101,7 +101,8 @@
     bool open_{};
     bool hasReported_{}; /*!< Whether this connection has carried a whole report. */
     std::optional<TimePoint> awaitingSince_; /*!< When the oldest unanswered report was sent. */
-    std::deque<TimePoint> reportedAt_; /*!< When the reports that are not answered were sent; answers keep their order. */
+    std::deque<TimePoint>
+        reportedAt_; /*!< When the reports that are not answered were sent; answers keep their order. */
     TimePoint retryAt_;
     Duration pause_;
 };
--- a/src/jasminelatch/standin/backend_server.cpp
+++ b/src/jasminelatch/standin/backend_server.cpp
@@ -1,9 +1,10 @@
 #include "backend_server.hpp"
 
-#include <glog/logging.h>
 #include <jasminelatch/filter/fields.hpp>
 #include <jasminelatch/node/announcement.hpp>
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -170,8 +171,8 @@
         return;
     }
     if (!internal::isSuccess(result)) {
-        LOG(WARNING) << "backend: a nested call ended with " << static_cast<int>(result.end) << ' ' << result.response.status << ' '
-                     << result.response.body;
+        LOG(WARNING) << "backend: a nested call ended with " << static_cast<int>(result.end) << ' '
+                     << result.response.status << ' ' << result.response.body;
         complete(number, 502);
         return;
     }
--- a/test/jasminelatch/mesh/call_learner.cpp
+++ b/test/jasminelatch/mesh/call_learner.cpp
@@ -68,8 +68,8 @@
 
 TEST(CallLearner, ACallWithLessTimeBelongsToARunThatEndsLater)
 {
-    // Replays a file service: tile reads and downloads under way together. Most reads of symbols have less time than the
-    // tile that makes them, so that they share no deadline; those of hurried tiles do.
+    // Replays a file service: tile reads and downloads under way together. Most reads of symbols have less time than
+    // the tile that makes them, so that they share no deadline; those of hurried tiles do.
     CallLearner learner{{}};
     auto now = start;
     for (auto round = 0; round < 200; ++round, now += 20ms) {
--- a/test/jasminelatch/node/core_input.cpp
+++ b/test/jasminelatch/node/core_input.cpp
@@ -116,8 +116,8 @@
 
 TEST(Core, TellsNobodyOfItsBackendServerBeforeItHasRecords)
 {
-    // A node that has just started beside a running backend server: orders sent there failed, since the node refused the
-    // calls that they made. Here the store does not answer, so that no records come.
+    // A node that has just started beside a running backend server: orders sent there failed, since the node refused
+    // the calls that they made. Here the store does not answer, so that no records come.
     Clock clock;
     clock.pause();
     Core core{makeSettings(), 1, clock, makeHooks()};
--- a/test/jasminelatch/sidecar/settings.cpp
+++ b/test/jasminelatch/sidecar/settings.cpp
@@ -56,4 +56,26 @@
     EXPECT_NE(text.find("# TYPE jasminelatch_peers gauge\njasminelatch_peers 13\n"), std::string::npos);
 }
 
+TEST(MetricsText, WritesLatenciesInBucketsThatAddUp)
+{
+    using namespace std::chrono_literals;
+    Counters counters;
+    for (const auto time : {Duration{0ms}, Duration{3ms}, Duration{300ms}, Duration{12s}}) {
+        counters.observe("entry.request_time", time);
+    }
+    const auto text = metricsText(counters, {});
+    const std::string name{"jasminelatch_entry_request_time_seconds"};
+    EXPECT_NE(text.find("# TYPE " + name + " histogram\n"), std::string::npos);
+    for (const auto *line : {"_bucket{le=\"0.001\"} 1\n",
+                             "_bucket{le=\"0.005\"} 2\n",
+                             "_bucket{le=\"0.25\"} 2\n",
+                             "_bucket{le=\"0.5\"} 3\n",
+                             "_bucket{le=\"10\"} 3\n",
+                             "_bucket{le=\"+Inf\"} 4\n",
+                             "_sum 12.303\n",
+                             "_count 4\n"}) {
+        EXPECT_NE(text.find(name + line), std::string::npos) << line;
+    }
+}
+
 } // namespace jasminelatch::sidecar
