Keeper: one chain of renewals; words of a moment to come, lost listings, new peers

A confirmation with a time to come, from an unreadable age, would have kept keys trusted: it is none now. A listing that failed left no log line. A peer whose link is still opening was dropped where the old copy did not show its record yet.

--- a/src/jasminelatch/mesh/freshness.cpp
+++ b/src/jasminelatch/mesh/freshness.cpp
@@ -11,6 +11,9 @@
 
 auto Freshness::confirm(const StoreConfirmation &word, const TimePoint now) -> void
 {
+    if (word.at > now) {
+        return;
+    }
     if (word.revision > applied_) {
         if (!ahead_) {
             aheadSince_ = now;
--- a/src/jasminelatch/mesh/freshness.hpp
+++ b/src/jasminelatch/mesh/freshness.hpp
@@ -44,7 +44,7 @@
     explicit Freshness(Settings settings);
 
     /**
-     * @brief Takes a confirmation.
+     * @brief Takes a confirmation; one of a moment to come is no confirmation.
      * @param word The confirmation.
      * @param now Present time.
      */
--- a/src/jasminelatch/sidecar/fleet_keeper.cpp
+++ b/src/jasminelatch/sidecar/fleet_keeper.cpp
@@ -171,6 +171,9 @@
 auto FleetKeeper::recordsListed(const HttpConnection::Result &result) -> void
 {
     const auto view = readView(result);
+    if (!view) {
+        context_.log.write("records_not_listed", {{"status", internal::statusOf(result)}, {"error", result.error}});
+    }
     if (!view || isListing_) {
         listRecordsLater();
         return;
@@ -408,8 +411,10 @@
 
 auto FleetKeeper::scheduleRenewal() -> void
 {
-    context_.loop.after(settings_.renewInterval, [this, lease = lease_] {
-        if (lease == lease_ && !leaving_) {
+    context_.loop.cancel(renewTimer_);
+    renewTimer_ = context_.loop.after(settings_.renewInterval, [this] {
+        renewTimer_ = 0;
+        if (lease_ != 0 && !leaving_) {
             renew();
         }
     });
--- a/src/jasminelatch/sidecar/fleet_keeper.hpp
+++ b/src/jasminelatch/sidecar/fleet_keeper.hpp
@@ -174,6 +174,7 @@
     std::optional<mesh::Member> own_;
     std::string written_;
     std::uint64_t lease_{};
+    event::TimerId renewTimer_{};
     bool recordBusy_{};
     bool leaving_{};
 };
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -30,6 +30,8 @@
 /*! @brief Part of a cap's allowed excess that is used up by requests unseen between nodes; the rest is for late
  * reports. */
 constexpr double capDebtPart = 0.65;
+/*! @brief Time in which the link to a new peer opens, and the store's old copy comes to show its record. */
+constexpr Duration newPeerTime = std::chrono::seconds{3};
 /*! @brief Time for which a stopping node still takes requests: two readiness checks must see it first. */
 constexpr Duration farewellTime = std::chrono::milliseconds{2600};
 /*! @brief Time for which a stopping node still passes requests on to its instance, which may well stay. */
@@ -286,6 +288,7 @@
         peer.link->fail();
     }
     if (isOther) {
+        peer.addedAt = loop_->now();
         peer.link = std::make_unique<PeerLink>(
             *loop_, member.address, PeerLink::Settings{}, [this](const mesh::StoreConfirmation &word) {
                 keeper_.confirmed(word);
@@ -316,7 +319,8 @@
     // The listing may be older than a record, and leases run out while the store is away: a node that answers is kept.
     std::vector<std::string> gone;
     for (const auto &[name, peer] : peers_) {
-        if (!names.contains(name) && !peer.link->isAlive()) {
+        const auto isNew = loop_->now() - peer.addedAt < internal::newPeerTime;
+        if (!names.contains(name) && !peer.link->isAlive() && !isNew) {
             gone.push_back(name);
         }
     }
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -72,6 +72,7 @@
     struct Peer {
         mesh::Member member;
         std::unique_ptr<PeerLink> link;
+        TimePoint addedAt;
     };
 
     [[nodiscard]] auto answerReady() const -> mesh::Answer;
--- a/test/jasminelatch/mesh/freshness.cpp
+++ b/test/jasminelatch/mesh/freshness.cpp
@@ -92,6 +92,14 @@
     EXPECT_FALSE(freshness.isFresh(start + 8501ms));
 }
 
+TEST(Freshness, AWordOfAMomentToComeIsNone)
+{
+    // A peer's answer with an age that can't be read as a time.
+    Freshness freshness{{.validity = validity}};
+    freshness.confirm({0, start + 1h}, start);
+    EXPECT_FALSE(freshness.isFresh(start));
+}
+
 TEST(Freshness, ChangesThatOnlyPeersKnowOfAreAskedForSoon)
 {
     Freshness freshness{{.validity = validity}};
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -254,6 +254,22 @@
     EXPECT_TRUE(world.runUntil([&] { return knows(front) && knows(back); }, 7s));
 }
 
+TEST_F(NodeTest, RenewalsDoNotAddUpOverOutages)
+{
+    // Each return of the store renews at once, since the lease may have run out.
+    for (auto outage = 0; outage < 4; ++outage) {
+        store.down = true;
+        world.runFor(1200ms);
+        store.down = false;
+        world.runFor(1200ms);
+    }
+    const auto before = store.renewals;
+    world.runFor(6500ms);
+    constexpr std::size_t nodes = 2;
+    constexpr std::size_t mostEach = 3;
+    EXPECT_LE(store.renewals - before, nodes * mostEach) << "one every 3 s";
+}
+
 TEST_F(NodeTest, AnIdleNodeCallsTheStoreLittle)
 {
     // The goal for the large deployments is 0.3 calls a second a node; a renewal counts as a tenth.
--- a/test/support/platform_store.hpp
+++ b/test/support/platform_store.hpp
@@ -72,6 +72,7 @@
 
     bool down{}; /*!< Whether calls are answered with 503 and nothing is done. */
     std::size_t calls{}; /*!< Calls so far. */
+    std::size_t renewals{}; /*!< Renewals of leases so far. */
 
 private:
     using Json = nlohmann::json;
@@ -114,6 +115,7 @@
         } else if (target == "/v1/kv-lease") {
             respond(ok({{"lease", ++lastLease_}, {"ttl_time", "10000ms"}}));
         } else {
+            renewals += target.starts_with("/v1/kv-keep") ? 1 : 0;
             respond(ok({{"ttl_time", "10000ms"}}));
         }
     }
