Model of a fleet that drives the nodes' own cores; retry decisions out of the request router

src/jasminelatch/model is a discrete event simulation: clients, trees of calls, instances (slots, speed, knee, rejections, slowness) and reports are modelled; admission, placement, gate, retry budget and learner are those of the node.

Whether a request may be repeated and the Retry-After of a refused tree are now decided in mesh/retry_policy, as before.

--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -16,10 +16,6 @@
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusGatewayTimeout = 504;
-/*! @brief Largest number of nodes that one request is sent to. */
-constexpr std::size_t maxNodesTried = 3;
-/*! @brief Lower bound of `Retry-After`; also its value while the node has no fresh configuration. */
-constexpr Duration minRetryAfter = std::chrono::milliseconds{300};
 /*! @brief Time after the deadline in which the reply of the last node is still accepted. */
 constexpr Duration replyGracePeriod = std::chrono::milliseconds{40};
 /*! @brief Rank of calls within admitted call trees: refusing one wastes the work already done in its tree. */
@@ -28,8 +24,6 @@
 constexpr int queueWaitDivisor = 4;
 /*! @brief Shortest wait limit of a request that is sent to another instance after its queue wait has run out. */
 constexpr Duration minQueueWait = std::chrono::milliseconds{10};
-/*! @brief Mean `Retry-After` before jitter when none of the requests of a rank and route are admitted. */
-constexpr Duration maxMeanRetryAfter = std::chrono::seconds{1};
 /*! @brief Number of route priorities within one account priority. */
 constexpr std::uint32_t ranksPerAccountPriority = 16;
 
@@ -128,7 +122,7 @@
         if (route.open) {
             return std::nullopt;
         }
-        return Refusal{internal::statusUnavailable, "configuration_stale", internal::minRetryAfter};
+        return Refusal{internal::statusUnavailable, "configuration_stale", mesh::minRetryAfter};
     }
     account = call.key ? configuration_->findAccount(*call.key) : nullptr;
     if (account == nullptr && !route.open) {
@@ -141,12 +135,12 @@
     -> std::optional<Refusal>
 {
     if (!configuration_) {
-        return Refusal{internal::statusUnavailable, "no_configuration", internal::minRetryAfter};
+        return Refusal{internal::statusUnavailable, "no_configuration", mesh::minRetryAfter};
     }
     const auto *route = configuration_->findRoute(call.host, request.target);
     if (route == nullptr) {
         if (!hooks_.isConfigurationFresh()) {
-            return Refusal{internal::statusUnavailable, "configuration_stale", internal::minRetryAfter};
+            return Refusal{internal::statusUnavailable, "configuration_stale", mesh::minRetryAfter};
         }
         return Refusal{internal::statusNotFound, "no_route"};
     }
@@ -193,23 +187,15 @@
     if (!context_.admission.admit(hop.rank, route.name)) {
         context_.caps.refund(account.name);
         const auto fraction = context_.admission.admittedFraction(hop.rank, route.name);
+        const auto jitter = std::uniform_real_distribution{0.5, 1.5}(random_);
         return Refusal{internal::statusUnavailable,
                        "no_room_for_tree",
-                       overloadRetryAfter(fraction),
+                       mesh::overloadRetryAfter(fraction, jitter),
                        {{"account", account.name}, {"route", route.name}, {"rank", hop.rank}, {"part", fraction}}};
     }
     return std::nullopt;
 }
 
-auto RequestRouter::overloadRetryAfter(const double admittedFraction) -> Duration
-{
-    // Grows with the fraction that is refused; the jitter keeps requests refused together from retrying together.
-    const auto jitter = std::uniform_real_distribution{0.5, 1.5}(random_);
-    const auto retryAfter =
-        static_cast<double>(internal::maxMeanRetryAfter.count()) * (1.0 - admittedFraction) * jitter;
-    return std::max(Duration{static_cast<Duration::rep>(retryAfter)}, Duration{internal::minRetryAfter});
-}
-
 auto RequestRouter::pickService(const mesh::Route &route) -> std::string
 {
     if (route.services.size() == 1) {
@@ -281,22 +267,22 @@
     }
 }
 
-auto RequestRouter::mayRetry(Attempt &attempt, const mesh::HopReply &reply) -> bool
+auto RequestRouter::mayRetry(const Attempt &attempt, const mesh::HopReply &reply) -> bool
 {
     const auto now = context_.loop.now();
-    if (now >= attempt.hop.deadline || attempt.tried.size() >= internal::maxNodesTried) {
+    if (now >= attempt.hop.deadline) {
         return false;
     }
-    if (reply.reason == mesh::HopReason::Expired && reply.outcome == mesh::HopOutcome::Unknown) {
+    switch (mesh::retryPermission(
+        {attempt.tried.size(), attempt.instancesReached, attempt.maxAttempts, attempt.hop.idempotent}, reply)) {
+    case mesh::RetryPermission::Denied:
         return false;
-    }
-    if (reply.outcome == mesh::HopOutcome::Unknown && !attempt.hop.idempotent) {
-        return false;
-    }
-    if (attempt.instancesReached == 0) {
+    case mesh::RetryPermission::Free:
         return true;
+    case mesh::RetryPermission::FromBudget:
+        return context_.repeats.spend(attempt.hop.service, now);
     }
-    return attempt.instancesReached < attempt.maxAttempts && context_.repeats.spend(attempt.hop.service, now);
+    return false;
 }
 
 auto RequestRouter::fail(const std::uint64_t requestId, const std::string_view reason) -> void
@@ -322,7 +308,7 @@
     if (!attempt.mayHaveRun && !attempt.hop.account.empty()) {
         context_.caps.refund(attempt.hop.account);
     }
-    const auto retryAfter = std::max(attempt.lastReply.retryAfter, Duration{internal::minRetryAfter});
+    const auto retryAfter = std::max(attempt.lastReply.retryAfter, mesh::minRetryAfter);
     finish(requestId, makeAnswer(status, attempt.mayHaveRun ? Duration::zero() : retryAfter));
 }
 
--- a/src/jasminelatch/sidecar/request_router.hpp
+++ b/src/jasminelatch/sidecar/request_router.hpp
@@ -11,6 +11,7 @@
 #include <jasminelatch/mesh/hop.hpp>
 #include <jasminelatch/mesh/placement.hpp>
 #include <jasminelatch/mesh/retry_budget.hpp>
+#include <jasminelatch/mesh/retry_policy.hpp>
 #include <jasminelatch/mesh/tree_admission.hpp>
 #include <jasminelatch/mesh/usage_caps.hpp>
 
@@ -128,12 +129,11 @@
         -> std::optional<Refusal>;
     [[nodiscard]] auto admitRoot(const mesh::Route &route, const mesh::Account &account, mesh::HopRequest &hop)
         -> std::optional<Refusal>;
-    [[nodiscard]] auto overloadRetryAfter(double admittedFraction) -> Duration;
     [[nodiscard]] auto pickService(const mesh::Route &route) -> std::string;
     auto dispatch(std::uint64_t requestId) -> void;
     auto cancelExchange(const Attempt &attempt) -> void;
     auto handleReply(std::uint64_t requestId, mesh::HopReply reply) -> void;
-    [[nodiscard]] auto mayRetry(Attempt &attempt, const mesh::HopReply &reply) -> bool;
+    [[nodiscard]] auto mayRetry(const Attempt &attempt, const mesh::HopReply &reply) -> bool;
     auto fail(std::uint64_t requestId, std::string_view reason) -> void;
     auto handleTimeout(std::uint64_t requestId) -> void;
     auto finish(std::uint64_t requestId, mesh::Answer answer) -> void;
--- a/src/programs/jasminelatch-load/main.cpp
+++ b/src/programs/jasminelatch-load/main.cpp
@@ -6,6 +6,7 @@
 #include <jasminelatch/load/report.hpp>
 #include <jasminelatch/load/runner.hpp>
 #include <jasminelatch/load/scenario.hpp>
+#include <jasminelatch/model/simulation.hpp>
 #include <jasminelatch/program/program.hpp>
 #include <jasminelatch/record/reader.hpp>
 
@@ -16,6 +17,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <map>
 
 namespace {
 
@@ -157,6 +159,40 @@
     return findings.empty() ? exitOk : exitFindings;
 }
 
+/*! @brief Plays a scenario of the model with the nodes' decisions and with the baselines, and plots them. */
+auto runModel(const Options &options) -> int
+{
+    namespace model = jasminelatch::model;
+    jasminelatch::Findings findings;
+    const auto text = jasminelatch::program::readFile(options.scenario, findings);
+    const auto json = text ? record::parseJson(*text, options.scenario, findings) : std::nullopt;
+    const auto scenario = json ? model::parseScenario(*json, options.scenario, findings) : std::nullopt;
+    std::cerr << jasminelatch::toText(findings);
+    if (!scenario) {
+        return exitFindings;
+    }
+    const std::map<std::string, model::Policy> policies{{"nodes", model::Policy::Nodes},
+                                                        {"no admission", model::Policy::NoAdmission},
+                                                        {"first come", model::Policy::FirstCome}};
+    std::map<std::string, model::Outcome> outcomes;
+    nlohmann::json report;
+    for (const auto &[name, policy] : policies) {
+        model::SimulationSettings settings;
+        settings.policy = policy;
+        settings.seed = options.seed;
+        outcomes[name] = model::Simulation{*scenario, settings}.run();
+        report[name] = model::toJson(outcomes[name]);
+        std::cout << name << ": " << report[name]["total"].dump() << '\n';
+    }
+    if (!options.out.empty()) {
+        const std::filesystem::path directory{options.out};
+        std::filesystem::create_directories(directory);
+        write(directory / "model.json", report.dump(1) + "\n");
+        write(directory / "model.svg", model::drawPlot(scenario->name, outcomes));
+    }
+    return exitOk;
+}
+
 } // namespace
 
 auto main(int argc, char **argv) -> int
@@ -173,8 +209,15 @@
     app.add_option("--seed", options.seed, "Seed of everything that is drawn")->capture_default_str();
     app.add_option("--out", options.out, "Directory for measures.json, requests.json and chart.svg");
     app.add_option("--compare", options.compare, "Instead: sets runs side by side, as name=measures.json");
+    auto *model = app.add_subcommand("model", "Plays a scenario with simulated nodes and instances instead");
+    model->add_option("scenario", options.scenario, "Scenario of the model, JSON with comments")->required();
+    model->add_option("--seed", options.seed, "Seed of everything that is drawn")->capture_default_str();
+    model->add_option("--out", options.out, "Directory for model.json and model.svg");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    if (model->parsed()) {
+        return runModel(options);
+    }
     if (!options.compare.empty()) {
         return compare(options.compare);
     }
