Instances are compared by run times relative to their route's mean

Hypothesis: placement compares instances by the mean time of the runs that they happened to get. Where routes of 22 ms and of 360 ms share a service, an instance that got more of the long ones looks up to 25 times slower, gets none of the short ones and stays so, idle beside queues at the others (model: 4 of 46 slots used beside queues of 60). Ruled out: errors of learned costs, the reaction of admission (with its feedback off the instance idles as well). Change: a gate reports what it needs for the service's mean request, from the ratio of each run to the mean of its route over all nodes.

--- a/src/jasminelatch/mesh/hop.hpp
+++ b/src/jasminelatch/mesh/hop.hpp
@@ -62,7 +62,7 @@
     std::uint32_t running{}; /*!< Requests that are running. */
     std::uint32_t queued{}; /*!< Requests that are queued at the node. */
     std::uint32_t limit{}; /*!< Concurrency limit. */
-    Duration runTime{}; /*!< Mean run time; zero before the first run. */
+    Duration runTime{}; /*!< Run time of the mean request of its service at this instance; zero before the first run. */
 };
 
 /*! @brief Reply of the node beside an instance to one request. */
--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -26,6 +26,22 @@
     slots_ = slots;
 }
 
+auto InstanceGate::setFleetProfiles(const std::map<std::string, RouteProfile> &profiles) -> void
+{
+    auto runs = 0.0;
+    auto total = 0.0;
+    fleetRunTimes_.clear();
+    for (const auto &[route, own] : runTimes_) {
+        const auto found = profiles.find(route);
+        if (found != profiles.end() && found->second.runTime > Duration::zero()) {
+            fleetRunTimes_.emplace(route, found->second.runTime);
+            runs += found->second.runs;
+            total += found->second.runs * static_cast<double>(found->second.runTime.count());
+        }
+    }
+    fleetRunTime_ = runs > 0.0 ? Duration{static_cast<Duration::rep>(total / runs)} : Duration::zero();
+}
+
 auto InstanceGate::offer(Item item, const TimePoint now) -> Decision
 {
     const auto free = running_.size() < limit();
@@ -58,17 +74,25 @@
         return;
     }
     if (runTime > Duration::zero()) {
-        const auto [mean, isNew] = runTimes_.try_emplace(found->second, runTime);
-        if (!isNew) {
-            mean->second = internal::ewma(mean->second, runTime, settings_.runTimeEwmaWeight);
-        }
-        meanRunTime_ = meanRunTime_ == Duration::zero()
-                         ? runTime
-                         : internal::ewma(meanRunTime_, runTime, settings_.runTimeEwmaWeight);
+        recordRunTime(found->second, runTime);
     }
     running_.erase(found);
 }
 
+auto InstanceGate::recordRunTime(const std::string &route, const Duration runTime) -> void
+{
+    const auto weight = settings_.runTimeEwmaWeight;
+    const auto [mean, isNew] = runTimes_.try_emplace(route, runTime);
+    if (!isNew) {
+        mean->second = internal::ewma(mean->second, runTime, weight);
+    }
+    meanRunTime_ = meanRunTime_ == Duration::zero() ? runTime : internal::ewma(meanRunTime_, runTime, weight);
+    if (const auto fleet = fleetRunTimes_.find(route); fleet != fleetRunTimes_.end()) {
+        const auto ratio = static_cast<double>(runTime.count()) / static_cast<double>(fleet->second.count());
+        slowness_ += weight * (ratio - slowness_);
+    }
+}
+
 auto InstanceGate::dispatch(const TimePoint now) -> Dispatch
 {
     Dispatch dispatched;
@@ -104,8 +128,10 @@
 
 auto InstanceGate::load() const -> InstanceLoad
 {
-    return {
-        static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(queue_.size()), limit(), meanRunTime_};
+    const auto relative = static_cast<double>(fleetRunTime_.count()) * slowness_;
+    const auto runTime =
+        fleetRunTime_ > Duration::zero() ? Duration{static_cast<Duration::rep>(relative)} : meanRunTime_;
+    return {static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(queue_.size()), limit(), runTime};
 }
 
 auto InstanceGate::limit() const -> std::uint32_t
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -1,6 +1,7 @@
 #ifndef JASMINELATCH_MESH_INSTANCE_GATE_HPP
 #define JASMINELATCH_MESH_INSTANCE_GATE_HPP
 
+#include "call_learner.hpp"
 #include "hop.hpp"
 
 #include <jasminelatch/core/clock.hpp>
@@ -73,6 +74,12 @@
      */
     auto setSlots(std::uint32_t slots) -> void;
 
+    /**
+     * @brief Sets the run times that the service's instances need on average, against which this one is compared.
+     * @param profiles Profiles of all nodes together, by route.
+     */
+    auto setFleetProfiles(const std::map<std::string, RouteProfile> &profiles) -> void;
+
     /**
      * @brief Requests a slot.
      * @param item Request with its rank and time limits.
@@ -101,7 +108,13 @@
      */
     auto clearQueue() -> std::vector<std::uint64_t>;
 
-    /*! @brief Returns running and queued requests, the limit and the mean run time. */
+    /**
+     * @brief Returns running and queued requests, the limit and the run time.
+     *
+     * Load pattern: requests of several routes share an instance, and their run times differ more than the speeds of
+     * instances do. The mean of the runs that an instance happened to get says little about its speed, so the run time
+     * returned is what the instance needs for the mean request of its service.
+     */
     [[nodiscard]] auto load() const -> InstanceLoad;
 
 private:
@@ -112,6 +125,7 @@
     [[nodiscard]] auto expectedWait(std::size_t ahead) const -> Duration;
     [[nodiscard]] auto retryAfter() const -> Duration;
     [[nodiscard]] auto canFinish(const Item &item, TimePoint start) const -> bool;
+    auto recordRunTime(const std::string &route, Duration runTime) -> void;
 
     Settings settings_;
     std::uint32_t slots_{};
@@ -121,6 +135,9 @@
     std::unordered_map<std::uint64_t, std::string> running_; /*!< Route by id. */
     std::unordered_map<std::string, Duration> runTimes_;
     Duration meanRunTime_{};
+    std::unordered_map<std::string, Duration> fleetRunTimes_; /*!< Mean run time at all instances, by route. */
+    Duration fleetRunTime_{}; /*!< Mean over the requests of all routes; zero while it is unknown. */
+    double slowness_{1.0}; /*!< Moving average of the run time relative to the mean of the route. */
 };
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/tree_admission.cpp
+++ b/src/jasminelatch/mesh/tree_admission.cpp
@@ -97,13 +97,13 @@
     -> void
 {
     aggregateRates(now);
-    const auto profiles = mergedProfiles();
+    mergeAllProfiles();
     std::map<std::string, Costs> evaluated;
     std::map<std::string, double> remaining;
     std::vector<Kind *> order;
     for (auto &[name, kind] : kinds_) {
         order.push_back(&kind);
-        kind.costs = costsOf(kind.route, profiles, evaluated);
+        kind.costs = costsOf(kind.route, evaluated);
         for (const auto &[service, cost] : kind.costs) {
             if (!remaining.contains(service)) {
                 remaining[service] = plannedCapacity(service, capacity(service));
@@ -180,24 +180,26 @@
     return services_;
 }
 
-auto TreeAdmission::mergedProfiles() const -> std::map<std::string, RouteProfile>
+auto TreeAdmission::profiles() const -> const std::map<std::string, RouteProfile> &
 {
-    std::map<std::string, RouteProfile> merged;
+    return profiles_;
+}
+
+auto TreeAdmission::mergeAllProfiles() -> void
+{
+    profiles_.clear();
     for (const auto &[name, node] : nodes_) {
-        mergeProfiles(merged, node.profiles);
+        mergeProfiles(profiles_, node.profiles);
     }
-    return merged;
 }
 
-auto TreeAdmission::costsOf(const std::string &route,
-                            const std::map<std::string, RouteProfile> &profiles,
-                            std::map<std::string, Costs> &evaluated) const -> const Costs &
+auto TreeAdmission::costsOf(const std::string &route, std::map<std::string, Costs> &evaluated) const -> const Costs &
 {
     // A route that is being evaluated counts as free, which terminates the recursion on cyclic calls.
     const auto [found, isNew] = evaluated.try_emplace(route);
-    const auto profile = profiles.find(route);
+    const auto profile = profiles_.find(route);
     const auto services = routes_.find(route);
-    if (!isNew || profile == profiles.end() || services == routes_.end()) {
+    if (!isNew || profile == profiles_.end() || services == routes_.end()) {
         return found->second;
     }
     Costs costs;
@@ -210,7 +212,7 @@
         costs[choice.service] += weightSum > 0.0 ? seconds * choice.weight / weightSum : 0.0;
     }
     for (const auto &[call, count] : profile->second.calls) {
-        for (const auto &[service, cost] : costsOf(call, profiles, evaluated)) {
+        for (const auto &[service, cost] : costsOf(call, evaluated)) {
             costs[service] += count * cost;
         }
     }
--- a/src/jasminelatch/mesh/tree_admission.hpp
+++ b/src/jasminelatch/mesh/tree_admission.hpp
@@ -155,6 +155,9 @@
     /*! @brief Returns the plans of all kinds of request. */
     [[nodiscard]] auto kinds() const -> std::vector<KindPlan>;
 
+    /*! @brief Returns the route profiles of all nodes together, as of the last update, by route. */
+    [[nodiscard]] auto profiles() const -> const std::map<std::string, RouteProfile> &;
+
     /*! @brief Returns the plans of all services that requests need, by name. */
     [[nodiscard]] auto services() const -> const std::map<std::string, ServicePlan> &;
 
@@ -172,16 +175,15 @@
         double credit{};
     };
 
-    [[nodiscard]] auto mergedProfiles() const -> std::map<std::string, RouteProfile>;
-    auto costsOf(const std::string &route,
-                 const std::map<std::string, RouteProfile> &profiles,
-                 std::map<std::string, Costs> &evaluated) const -> const Costs &;
+    auto mergeAllProfiles() -> void;
+    auto costsOf(const std::string &route, std::map<std::string, Costs> &evaluated) const -> const Costs &;
     auto aggregateRates(TimePoint now) -> void;
     auto plannedCapacity(const std::string &service, const ServiceCapacity &capacity) -> double;
 
     Settings settings_;
     std::map<std::string, std::vector<WeightedService>> routes_;
     std::map<std::string, NodeOffers> nodes_;
+    std::map<std::string, RouteProfile> profiles_; /*!< Profiles of all nodes together. */
     std::map<std::string, Kind> kinds_;
     std::map<std::string, std::uint64_t> offered_;
     std::map<std::string, ServicePlan> services_;
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -139,6 +139,11 @@
     advance();
 }
 
+auto LocalInstance::setFleetProfiles(const std::map<std::string, mesh::RouteProfile> &profiles) -> void
+{
+    gate_.setFleetProfiles(profiles);
+}
+
 auto LocalInstance::latest() const noexcept -> const mesh::InstanceReport &
 {
     return record_.report();
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -89,10 +89,16 @@
      */
     auto cancel(std::uint64_t requestId) -> void;
 
+    /**
+     * @brief Sets the run times that the instance is compared against.
+     * @param profiles Profiles of all nodes together, by route.
+     */
+    auto setFleetProfiles(const std::map<std::string, mesh::RouteProfile> &profiles) -> void;
+
     /*! @brief Returns the newest report that was applied. */
     [[nodiscard]] auto latest() const noexcept -> const mesh::InstanceReport &;
 
-    /*! @brief Returns the running and queued requests, the concurrency limit and the mean run time. */
+    /*! @brief Returns the running and queued requests, the concurrency limit and the run time. */
     [[nodiscard]] auto load() const -> mesh::InstanceLoad;
 
     /*! @brief Returns the number of requests that are running or queued. */
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -316,6 +316,7 @@
     decayedAt_ = now;
     fleet_.update();
     admission_.update([this](const std::string &service) { return placement_.capacity(service); }, now);
+    instance_.setFleetProfiles(admission_.profiles());
     logPlan(now);
 }
 
--- a/test/jasminelatch/mesh/instance_gate.cpp
+++ b/test/jasminelatch/mesh/instance_gate.cpp
@@ -144,4 +144,33 @@
     }
 }
 
+TEST(InstanceGate, ReportsTheSpeedOfTheInstanceWhateverRoutesItRuns)
+{
+    // Two instances run two routes, the second four times slower. One gets mostly short runs, the other mostly long ones.
+    std::map<std::string, RouteProfile> fleet;
+    fleet["short"] = {"short", 900, 20ms, {}};
+    fleet["long"] = {"long", 100, 320ms, {}};
+    const auto runTimeAfter = [&](const std::uint64_t runsPerLongOne, const int slowness) {
+        InstanceGate gate{{}};
+        gate.setSlots(10);
+        for (std::uint64_t id = 0; id < 400; ++id) {
+            const auto isLong = id % runsPerLongOne == 0;
+            gate.offer({id, 0, isLong ? "long" : "short", start + 10s, start + 10s}, start);
+            gate.setFleetProfiles(fleet);
+            gate.finish(id, (isLong ? 320ms : 20ms) * slowness);
+        }
+        return gate.load().runTime;
+    };
+    // The mean request takes 0.9 * 20 ms + 0.1 * 320 ms.
+    EXPECT_NEAR(static_cast<double>(runTimeAfter(50, 1).count()), 50e3, 1e3);
+    EXPECT_NEAR(static_cast<double>(runTimeAfter(2, 1).count()), 50e3, 1e3);
+    EXPECT_NEAR(static_cast<double>(runTimeAfter(50, 4).count()), 200e3, 4e3);
+}
+
+TEST(InstanceGate, ReportsTheMeanRunTimeBeforeTheFleetIsKnown)
+{
+    const auto gate = warmGate();
+    EXPECT_EQ(gate.load().runTime, 100ms);
+}
+
 } // namespace jasminelatch::mesh
