Admission follows the present queue instead of remembering past ones

Hypothesis: the planned fraction of a service goes down by 0.03 a report while its queue is long and up as slowly, so after a queue of a moment requests are refused for seconds while slots are free. Change: the plan is scaled by 1.5 limits over running and queued requests, if those are more, with no memory.

--- a/src/jasminelatch/mesh/tree_admission.cpp
+++ b/src/jasminelatch/mesh/tree_admission.cpp
@@ -250,9 +250,8 @@
     }
     plan.capacity = capacity;
     plan.observed += settings_.utilizationWeight * (capacity.running - plan.observed);
-    const auto inUse = std::max(plan.observed, capacity.running + capacity.queued);
-    const auto isQueueLong = capacity.queued > settings_.queueThreshold * capacity.limit;
-    const auto step = isQueueLong ? -settings_.plannedFractionStep : settings_.plannedFractionStep;
+    const auto load = capacity.running + capacity.queued;
+    const auto inUse = std::max(plan.observed, load);
     // Admitting everything as soon as some capacity is free makes the load oscillate between overload and idleness.
     if (inUse < settings_.highUtilization * capacity.limit) {
         plan.overcommit = plan.isOverloaded
@@ -261,7 +260,10 @@
     } else {
         plan.overcommit = std::max(plan.overcommit / settings_.overcommitDecrease, 1.0);
     }
-    plan.plannedFraction = std::clamp(plan.plannedFraction + step, settings_.minPlannedFraction, 1.0);
+    // A queue is worked off within moments, so the fraction follows its present length; one that remembers past queues
+    // leaves capacity unused after them.
+    const auto maxLoad = settings_.maxLoad * capacity.limit;
+    plan.plannedFraction = load > maxLoad ? std::max(maxLoad / load, settings_.minPlannedFraction) : 1.0;
     // Costs are estimates, so the capacity is scaled by the ratio of planned to observed utilization.
     const auto bias = plan.observed > 0.0 ? plan.planned / plan.observed : 1.0;
     const auto boundedBias = std::clamp(bias, settings_.minBias, settings_.maxBias);
--- a/src/jasminelatch/mesh/tree_admission.hpp
+++ b/src/jasminelatch/mesh/tree_admission.hpp
@@ -77,10 +77,8 @@
                                               to the margin of `targetUtilization`: learned costs are never exactly
                                               zero. */
         Duration rateWindow{std::chrono::milliseconds{600}}; /*!< Time constant of the offered rate of a kind. */
-        double queueThreshold{0.25}; /*!< Queued requests per unit of the concurrency limit above which less is
-                                          admitted. */
-        double plannedFractionStep{0.03}; /*!< Decrease of `plannedFraction` per update while the queue is too long;
-                                               its increase otherwise. */
+        double maxLoad{1.5}; /*!< Running and queued requests per unit of the concurrency limit above which less is
+                                  admitted, in proportion. */
         double minPlannedFraction{0.5}; /*!< Lower bound of `plannedFraction`. */
         double highUtilization{0.8}; /*!< Utilization below which admission increases step by step. */
         double overcommitIncrease{1.25}; /*!< Factor by which `overcommit` grows per update while requests are shed
--- a/src/jasminelatch/model/scenario.cpp
+++ b/src/jasminelatch/model/scenario.cpp
@@ -58,6 +58,7 @@
     const auto &kind = json.at("kind").get_ref<const std::string &>();
     trouble.kind = kind == "reject" ? TroubleModel::Kind::Reject
                  : kind == "slow"   ? TroubleModel::Kind::Slow
+                 : kind == "away"   ? TroubleModel::Kind::Away
                                     : TroubleModel::Kind::Surge;
     trouble.from = seconds(json, "from_s");
     trouble.until = seconds(json, "until_s");
--- a/src/jasminelatch/model/scenario.hpp
+++ b/src/jasminelatch/model/scenario.hpp
@@ -55,7 +55,8 @@
     enum class Kind : std::uint8_t {
         Surge, /*!< Clients send more. */
         Reject, /*!< Instances reject a part of what arrives. */
-        Slow /*!< Instances are slower. */
+        Slow, /*!< Instances are slower. */
+        Away /*!< Instances have left; they accept no requests and finish those that run. */
     };
     Kind kind{Kind::Surge}; /*!< What happens. */
     Duration from{}; /*!< Begin. */
--- a/src/jasminelatch/model/simulation.cpp
+++ b/src/jasminelatch/model/simulation.cpp
@@ -43,6 +43,7 @@
     const ServiceModel *service{};
     std::size_t indexInService{};
     bool hasJoined{};
+    bool isAway{};
     bool isSweepScheduled{};
     TimePoint decayedAt;
     mesh::Placement placement;
@@ -168,12 +169,33 @@
         nodes_[node]->placement.setMember(nodes_[other]->member, now_);
         nodes_[other]->retries.setNodeCount(joined_.size());
     }
+    for (const auto &trouble : scenario_.troubles) {
+        const auto &self = *nodes_[node];
+        if (trouble.kind == TroubleModel::Kind::Away && trouble.service == self.member.service
+            && self.indexInService < trouble.count) {
+            after(internal::leadTime + trouble.from, [this, node] { setAway(node, true); });
+            after(internal::leadTime + trouble.until, [this, node] { setAway(node, false); });
+        }
+    }
     // The nodes' reports are spread over the interval.
     const auto phase = scenario_.reportInterval * static_cast<Duration::rep>(node)
                      / static_cast<Duration::rep>(nodes_.size());
     after(phase, [this, node] { report(node); });
 }
 
+auto Simulation::setAway(const std::size_t node, const bool isAway) -> void
+{
+    auto &self = *nodes_[node];
+    self.isAway = isAway;
+    if (isAway) {
+        for (const auto id : self.gate.clearQueue()) {
+            requests_.at(id).state = Request::State::Travelling;
+            reply(id, refusal(mesh::HopReason::Leaving, mesh::minRetryAfter, node));
+        }
+    }
+    sendReport(node);
+}
+
 auto Simulation::report(const std::size_t node) -> void
 {
     auto &self = *nodes_[node];
@@ -181,11 +203,20 @@
         self.learner.decay(now_ - self.decayedAt);
     }
     self.decayedAt = now_;
+    sendReport(node);
+    self.admission.update([&](const std::string &service) { return self.placement.capacity(service); }, now_);
+    self.gate.setFleetProfiles(self.admission.profiles());
+    after(scenario_.reportInterval, [this, node] { this->report(node); });
+}
+
+auto Simulation::sendReport(const std::size_t node) -> void
+{
+    auto &self = *nodes_[node];
     mesh::NodeReport report;
     report.name = self.member.name;
     report.incarnation = self.member.incarnation;
     report.instanceId = self.member.instanceId;
-    report.accepting = true;
+    report.accepting = !self.isAway;
     report.load = self.gate.load();
     report.offered = self.admission.offered();
     report.profiles = self.learner.profiles();
@@ -199,9 +230,6 @@
             }
         }
     });
-    self.gate.setFleetProfiles(self.admission.profiles());
-    self.admission.update([&](const std::string &service) { return self.placement.capacity(service); }, now_);
-    after(scenario_.reportInterval, [this, node] { this->report(node); });
 }
 
 auto Simulation::sample() -> void
@@ -215,12 +243,12 @@
     for (const auto node : joined_) {
         const auto load = nodes_[node]->gate.load();
         auto &sum = loads[nodes_[node]->member.service];
-        sum.limit += load.limit;
+        sum.limit += nodes_[node]->isAway ? 0.0 : load.limit;
         sum.running += load.running;
         sum.queued += load.queued;
     }
     for (const auto &[service, load] : loads) {
-        second.utilization[service] += weight * load.running / load.limit;
+        second.utilization[service] += weight * load.running / std::max(load.limit, 1.0);
         second.queued[service] += weight * load.queued;
     }
     after(internal::sampleInterval, [this] { sample(); });
@@ -346,6 +374,10 @@
     const auto rank = request.client && settings_.policy != Policy::FirstCome ? rankOf(request.kind) : 0U;
     const auto startBy = std::max(request.startBy, now_ + internal::minQueueWait);
     auto &node = *nodes_[request.node];
+    if (node.isAway) {
+        reply(id, refusal(mesh::HopReason::Leaving, mesh::minRetryAfter, request.node));
+        return;
+    }
     const auto decision =
         node.gate.offer({id, rank, scenario_.kinds[request.kind].name, request.deadline, startBy}, now_);
     if (decision.kind == mesh::InstanceGate::Decision::Kind::Refuse) {
--- a/src/jasminelatch/model/simulation.hpp
+++ b/src/jasminelatch/model/simulation.hpp
@@ -83,7 +83,9 @@
     auto after(Duration delay, std::function<void()> action) -> void;
     auto createNodes() -> void;
     auto join(std::size_t node) -> void;
+    auto setAway(std::size_t node, bool isAway) -> void;
     auto report(std::size_t node) -> void;
+    auto sendReport(std::size_t node) -> void;
     auto sample() -> void;
     auto scheduleArrival(std::size_t kind) -> void;
     auto attempt(std::shared_ptr<Client> client) -> void;
