--- a/src/jasminelatch/load/report.cpp
+++ b/src/jasminelatch/load/report.cpp
@@ -17,7 +17,7 @@
 
 auto line(std::ostream &out, const std::string &name) -> std::ostream &
 {
-    return out << std::left << std::setw(nameWidth) << name;
+    return out << std::left << std::setw(nameWidth) << name << ' ';
 }
 
 auto recoveryText(const Goodput &phase) -> std::string
--- a/src/jasminelatch/model/scenario.cpp
+++ b/src/jasminelatch/model/scenario.cpp
@@ -88,9 +88,8 @@
     for (std::size_t index = 0; index < scenario.troubles.size(); ++index) {
         const auto &trouble = scenario.troubles[index];
         if (trouble.kind != TroubleModel::Kind::Surge && !isService(trouble.service)) {
-            findings.push_back({file,
-                                "/troubles/" + std::to_string(index) + "/service",
-                                "no service is named " + trouble.service});
+            findings.push_back(
+                {file, "/troubles/" + std::to_string(index) + "/service", "no service is named " + trouble.service});
         }
     }
 }
--- a/src/jasminelatch/model/simulation.cpp
+++ b/src/jasminelatch/model/simulation.cpp
@@ -178,8 +178,8 @@
         }
     }
     // The nodes' reports are spread over the interval.
-    const auto phase = scenario_.reportInterval * static_cast<Duration::rep>(node)
-                     / static_cast<Duration::rep>(nodes_.size());
+    const auto phase =
+        scenario_.reportInterval * static_cast<Duration::rep>(node) / static_cast<Duration::rep>(nodes_.size());
     after(phase, [this, node] { report(node); });
 }
 
@@ -288,18 +288,17 @@
     if (settings_.policy == Policy::Nodes && !entry.admission.admit(rank, kind.name)) {
         outcome_.kinds[kind.name].refusedWithRoom += hasRoom(client->kind) ? 1 : 0;
         const auto fraction = entry.admission.admittedFraction(rank, kind.name);
-        answerClient(client,
-                     refusal(mesh::HopReason::QueueFull,
-                             mesh::overloadRetryAfter(fraction, 0.5 + uniform()),
-                             client->entry));
+        answerClient(
+            client,
+            refusal(mesh::HopReason::QueueFull, mesh::overloadRetryAfter(fraction, 0.5 + uniform()), client->entry));
         return;
     }
     Request request;
     request.kind = client->kind;
     request.entry = client->entry;
     request.deadline = client->deadline;
-    const auto wait = settings_.policy == Policy::FirstCome ? kind.timeout
-                                                            : kind.latencyTarget / internal::queueWaitDivisor;
+    const auto wait =
+        settings_.policy == Policy::FirstCome ? kind.timeout : kind.latencyTarget / internal::queueWaitDivisor;
     request.startBy = now_ + std::min<Duration>(client->deadline - now_, wait);
     request.client = std::move(client);
     startRequest(std::move(request));
@@ -356,7 +355,8 @@
         finishRequest(id, refusal(mesh::HopReason::Unreachable, mesh::minRetryAfter, request.entry));
         return;
     }
-    const auto found = std::ranges::find_if(nodes_, [&](const auto &node) { return node->member.name == member->name; });
+    const auto found =
+        std::ranges::find_if(nodes_, [&](const auto &node) { return node->member.name == member->name; });
     request.node = static_cast<std::size_t>(found - nodes_.begin());
     request.state = Request::State::Travelling;
     request.tried.push_back(member->name);
@@ -405,8 +405,8 @@
         return;
     }
     const auto isBeyondKnee = node.gate.load().running > node.service->knee * node.instance.slots;
-    const auto factor = (isBeyondKnee ? node.service->kneeFactor : 1.0)
-                      * troubleFactor(TroubleModel::Kind::Slow, &node) / node.instance.speed;
+    const auto factor = (isBeyondKnee ? node.service->kneeFactor : 1.0) * troubleFactor(TroubleModel::Kind::Slow, &node)
+                      / node.instance.speed;
     // The mean of a log-normal distribution is exp(mu + sigma^2 / 2).
     std::lognormal_distribution<double> draw{-kind.spread * kind.spread / 2, kind.spread};
     const auto work = static_cast<double>(kind.work.count()) * factor * draw(random_);
@@ -640,7 +640,8 @@
 
 auto Simulation::secondOf(const TimePoint time) -> SecondOutcome &
 {
-    const auto index = static_cast<std::size_t>((time - internal::start - internal::leadTime) / std::chrono::seconds{1});
+    const auto index =
+        static_cast<std::size_t>((time - internal::start - internal::leadTime) / std::chrono::seconds{1});
     if (outcome_.seconds.size() <= index) {
         outcome_.seconds.resize(index + 1);
     }
--- a/src/jasminelatch/sidecar/fleet.cpp
+++ b/src/jasminelatch/sidecar/fleet.cpp
@@ -43,7 +43,7 @@
     : context_{context}
     , hooks_{std::move(hooks)}
     , self_{own}
-    , ledger_{{}}
+    , aggregator_{{}}
 {
     plan_.relays = {self_.name};
     plan_.isRelay = true;
@@ -77,7 +77,7 @@
         closeLink(std::exchange(peer.link, makeLink(member.name, member.address)));
     }
     peer.member = member;
-    ledger_.applyMember(member);
+    aggregator_.applyMember(member);
     context_.placement.setMember(member, context_.loop.now());
     updatePeerCount();
     dropSuperseded(member);
@@ -161,7 +161,7 @@
     }
     closeLink(std::move(found->second.link));
     peers_.erase(found);
-    ledger_.removeNode(name);
+    aggregator_.removeNode(name);
     context_.placement.removeMember(name);
     context_.caps.removePeer(name);
     updatePeerCount();
@@ -215,7 +215,7 @@
 auto Fleet::updateReporting() -> void
 {
     for (auto &[name, peer] : peers_) {
-        if (const auto isReporting = ledger_.isReporting(name)) {
+        if (const auto isReporting = aggregator_.isReporting(name)) {
             peer.isReporting = isReporting;
         }
     }
@@ -225,7 +225,7 @@
 {
     const auto now = context_.loop.now();
     if (isRelay_) {
-        ledger_.updateLiveness(now);
+        aggregator_.updateLiveness(now);
         updateReporting();
     }
     for (auto &[name, peer] : peers_) {
@@ -253,7 +253,7 @@
     plan_ = mesh::planRelays(live, {self_.name, relay_, peers_.size() + 1}, {});
     context_.caps.setReportInterval(reportInterval());
     // A node that receives reports acts as a relay, whatever its own plan says.
-    const auto relays = plan_.isRelay || (isRelay_ && ledger_.leafCount() > 0);
+    const auto relays = plan_.isRelay || (isRelay_ && aggregator_.leafCount() > 0);
     if (relays != isRelay_) {
         if (relays) {
             becomeRelay();
@@ -271,7 +271,7 @@
     isRelay_ = true;
     relay_.clear();
     sentReport_.resetCounts();
-    ledger_.begin(nextSession(), session_.countedReport());
+    aggregator_.begin(nextSession(), session_.countedReport());
     context_.log.write("relay_role", {{"relay", true}, {"peers", peers_.size()}, {"relays", plan_.relays.size()}});
 }
 
@@ -324,30 +324,30 @@
 auto Fleet::reportToRelays(const mesh::NodeReport &own) -> void
 {
     const auto now = context_.loop.now();
-    ledger_.applyOwn(own);
+    aggregator_.applyOwn(own);
     session_.countLocally(own);
-    const auto report = ledger_.relayReport(own);
+    const auto report = aggregator_.relayReport(own);
     auto changes = report;
     if (reportCount_++ % internal::reportsPerProfile == 0) {
-        changes.profiles = ledger_.subtreeProfiles();
+        changes.profiles = aggregator_.subtreeProfiles();
     }
     changes.isFull = false;
     sentReport_.removeUnchanged(changes);
-    ledger_.addSubtreeStates(changes, false);
+    aggregator_.addSubtreeStates(changes, false);
     const auto changesFrame = mesh::encodeFrame(mesh::ReportMessage{std::move(changes)}, now);
-    std::string wholeFrame;
-    const auto whole = [&]() -> std::string_view {
-        if (wholeFrame.empty()) {
+    std::string fullFrame;
+    const auto fullReport = [&]() -> std::string_view {
+        if (fullFrame.empty()) {
             auto all = report;
-            all.profiles = ledger_.subtreeProfiles();
-            ledger_.addSubtreeStates(all, true);
-            wholeFrame = mesh::encodeFrame(mesh::ReportMessage{std::move(all)}, now);
+            all.profiles = aggregator_.subtreeProfiles();
+            aggregator_.addSubtreeStates(all, true);
+            fullFrame = mesh::encodeFrame(mesh::ReportMessage{std::move(all)}, now);
         }
-        return wholeFrame;
+        return fullFrame;
     };
     for (const auto &name : relayTargets()) {
         if (const auto peer = peers_.find(name); peer != peers_.end()) {
-            peer->second.link->sendReport(changesFrame, whole);
+            peer->second.link->sendReport(changesFrame, fullReport);
         }
     }
 }
@@ -386,13 +386,13 @@
 
 auto Fleet::broadcastStates() -> void
 {
-    if (ledger_.leafCount() == 0) {
+    if (aggregator_.leafCount() == 0) {
         return;
     }
     mesh::NodeReport states;
     states.name = self_.name;
     states.kind = mesh::ReportKind::Digest;
-    ledger_.addFleetStates(states, false);
+    aggregator_.addFleetStates(states, false);
     if (!states.instances.empty() || !states.members.empty()) {
         hooks_.broadcast(mesh::encodeFrame(mesh::ReportMessage{std::move(states)}, context_.loop.now()));
     }
@@ -421,16 +421,16 @@
     }
     context_.caps.applyReport(report, now);
     context_.admission.applyReport(report, now);
-    const auto isNewSession = ledger_.apply(report, now);
+    const auto isNewSession = aggregator_.apply(report, now);
     return report.kind == mesh::ReportKind::Own ? encodeAnswer(report, isNewSession) : std::string{};
 }
 
 auto Fleet::encodeAnswer(const mesh::NodeReport &report, const bool isNewSession) -> std::string
 {
     const auto now = context_.loop.now();
-    auto digest = ledger_.digest(report.name, hooks_.ownState());
+    auto digest = aggregator_.digest(report.name, hooks_.ownState());
     if (isNewSession) {
-        ledger_.addFleetStates(digest, true);
+        aggregator_.addFleetStates(digest, true);
     }
     auto frames = mesh::encodeFrame(mesh::ReportMessage{std::move(digest)}, now);
     const auto &registry = context_.registry;
--- a/src/jasminelatch/sidecar/fleet.hpp
+++ b/src/jasminelatch/sidecar/fleet.hpp
@@ -158,7 +158,7 @@
     mesh::Member self_; /*!< Record of this node at its start; holds no instance state. */
     std::map<std::string, Peer> peers_;
     mesh::RelayPlan plan_;
-    mesh::RelayAggregator ledger_;
+    mesh::RelayAggregator aggregator_;
     bool isRelay_{true};
     std::uint64_t lastSession_{}; /*!< Latest session of this node's counts, as a relay or at its relay. */
     mesh::ReportSession session_;
--- a/src/jasminelatch/sidecar/peer_link.cpp
+++ b/src/jasminelatch/sidecar/peer_link.cpp
@@ -62,14 +62,14 @@
     }
 }
 
-auto PeerLink::sendReport(const std::string_view changes, const std::function<std::string_view()> &whole) -> bool
+auto PeerLink::sendReport(const std::string_view changes, const std::function<std::string_view()> &fullReport) -> bool
 {
     closeIfSilent();
     if (!current_ && !connect()) {
         return false;
     }
     usedAt_ = loop_->now();
-    sendExpectingAck(std::exchange(hasReported_, true) ? changes : whole(), true);
+    sendExpectingAck(std::exchange(hasReported_, true) ? changes : fullReport(), true);
     return true;
 }
 
--- a/src/jasminelatch/sidecar/peer_link.hpp
+++ b/src/jasminelatch/sidecar/peer_link.hpp
@@ -88,10 +88,10 @@
     /**
      * @brief Sends a report: a full one first on each connection, incremental ones from then on.
      * @param changes Frame of the changes since the last report.
-     * @param whole Returns the frame of the full report; called on a new connection only.
+     * @param fullReport Returns the frame of the full report; called on a new connection only.
      * @return Whether it was written to a connection.
      */
-    auto sendReport(std::string_view changes, const std::function<std::string_view()> &whole) -> bool;
+    auto sendReport(std::string_view changes, const std::function<std::string_view()> &fullReport) -> bool;
 
     /*! @brief Replaces a silent connection, closes an idle one, and sends a probe while replies are outstanding. */
     auto checkLiveness() -> void;
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -77,7 +77,7 @@
     const auto timeLeft = attempt.hop.deadline - attempt.startedAt;
     attempt.timer =
         context_.loop.after(timeLeft + internal::replyGracePeriod, [this, requestId] { handleTimeout(requestId); });
-    context_.repeats.recordRequest(attempt.hop.service, attempt.startedAt);
+    context_.retryBudget.recordRequest(attempt.hop.service, attempt.startedAt);
     attempts_.emplace(requestId, std::move(attempt));
     dispatch(requestId);
     return attempts_.contains(requestId) ? requestId : 0;
@@ -280,7 +280,7 @@
     case mesh::RetryPermission::Free:
         return true;
     case mesh::RetryPermission::FromBudget:
-        return context_.repeats.spend(attempt.hop.service, now);
+        return context_.retryBudget.spend(attempt.hop.service, now);
     }
     return false;
 }
--- a/src/jasminelatch/sidecar/request_router.hpp
+++ b/src/jasminelatch/sidecar/request_router.hpp
@@ -45,7 +45,7 @@
         Counters &counters; /*!< Receives the `entry.*` counters. */
         mesh::Placement &placement; /*!< Chooses the node that a request is sent to. */
         mesh::UsageCaps &caps; /*!< Rate caps of client accounts. */
-        mesh::RetryBudget &repeats; /*!< Retry budget of each service. */
+        mesh::RetryBudget &retryBudget; /*!< Retry budget of each service. */
         mesh::TreeAdmission &admission; /*!< Fraction of the call trees of each rank and route that is admitted. */
         mesh::CallLearner &learner; /*!< Observes the calls that the local instance makes. */
     };
--- a/test/jasminelatch/mesh/instance_gate.cpp
+++ b/test/jasminelatch/mesh/instance_gate.cpp
@@ -146,7 +146,8 @@
 
 TEST(InstanceGate, ReportsTheSpeedOfTheInstanceWhateverRoutesItRuns)
 {
-    // Two instances run two routes, the second four times slower. One gets mostly short runs, the other mostly long ones.
+    // Two instances run two routes, the second four times slower. One gets mostly short runs, the other mostly long
+    // ones.
     std::map<std::string, RouteProfile> fleet;
     fleet["short"] = {"short", 900, 20ms, {}};
     fleet["long"] = {"long", 100, 320ms, {}};
--- a/test/jasminelatch/mesh/tree_admission.cpp
+++ b/test/jasminelatch/mesh/tree_admission.cpp
@@ -254,4 +254,80 @@
     EXPECT_LT(sum / rounds, 4.0 * 1.5);
 }
 
+TEST(TreeAdmission, ForgetsAQueueThatHasBeenWorkedOff)
+{
+    // Trouble-2 of Kalenteritaite: two of three instances leave for a moment. After their return admission took three
+    // seconds to use the capacity again.
+    Configuration configuration;
+    configuration.routes = {route("browse", "catalogue"), route("symbols", "previews")};
+    TreeAdmission admission{{}};
+    admission.setRoutes(configuration);
+    NodeReport report;
+    report.name = "node";
+    report.incarnation = 1;
+    report.profiles = {{"browse", 100, 400ms, {{"symbols", 8.0}}}, {"symbols", 1000, 50ms, {}}};
+    auto now = start;
+    const auto run = [&](const int steps, const ServiceCapacity &previews) {
+        for (auto step = 0; step < steps; ++step) {
+            now += 250ms;
+            report.offered[std::to_string(browseRank) + " browse"] += 75;
+            admission.applyReport(report, now);
+            admission.update(
+                [&](const std::string &service) {
+                    return service == "previews" ? previews : ServiceCapacity{300, 30, 0};
+                },
+                now);
+        }
+        return admission.admittedFraction(browseRank, "browse");
+    };
+    const auto before = run(40, {92, 90, 5});
+    EXPECT_LT(run(12, {31, 31, 100}), before / 2);
+    EXPECT_GT(run(2, {92, 90, 5}), 0.8 * before);
+}
+
+TEST(TreeAdmission, NodesThatStartedAtDifferentTimesAdmitAlike)
+{
+    // Scale-1 of Kalenteritaite: of two nodes that know the same loads one admitted 0.72 of the browses and the other
+    // 0.23 for as long as the overload lasted, because each took its own plan for the cause of the load it observed.
+    constexpr double limit = 100;
+    constexpr double browsePerSecond = 600;
+    constexpr double readTime = 0.05;
+    constexpr double reads = 8;
+    Configuration configuration;
+    configuration.routes = {route("browse", "catalogue"), route("symbols", "previews")};
+    std::vector<TreeAdmission> nodes(2, TreeAdmission{{}});
+    NodeReport report;
+    report.name = "node";
+    report.incarnation = 1;
+    report.profiles = {{"browse", 100, 400ms, {{"symbols", reads}}}, {"symbols", 1000, 50ms, {}}};
+    auto now = start;
+    auto demand = 0.0;
+    constexpr auto steps = 120;
+    constexpr auto secondStartsAt = 20;
+    for (auto step = 0; step < steps; ++step) {
+        now += 250ms;
+        report.offered[std::to_string(browseRank) + " browse"] += static_cast<std::uint64_t>(browsePerSecond / 4);
+        const auto running = std::min(demand, limit);
+        const auto capacity = [&](const std::string &service) {
+            return service == "previews" ? ServiceCapacity{limit, running, std::min(demand - running, limit)}
+                                         : ServiceCapacity{600, 60, 0};
+        };
+        auto fraction = 0.0;
+        for (auto &node : nodes) {
+            if (&node == &nodes.front() || step >= secondStartsAt) {
+                node.setRoutes(configuration);
+                node.applyReport(report, now);
+                node.update(capacity, now);
+            }
+            fraction += node.admittedFraction(browseRank, "browse") / static_cast<double>(nodes.size());
+        }
+        demand = browsePerSecond * fraction * reads * readTime;
+    }
+    const auto first = nodes.front().admittedFraction(browseRank, "browse");
+    const auto second = nodes.back().admittedFraction(browseRank, "browse");
+    EXPECT_NEAR(first, second, 0.05);
+    EXPECT_GT(first, 0.3);
+    EXPECT_LT(first, 0.65);
+}
+
 } // namespace jasminelatch::mesh
--- a/test/jasminelatch/model/scenarios.hpp
+++ b/test/jasminelatch/model/scenarios.hpp
@@ -6,7 +6,8 @@
 namespace jasminelatch::model::test {
 
 /**
- * @brief Shop whose browses and orders end in eight calls to a stock service, which clients' stock requests use as well.
+ * @brief Shop whose browses and orders end in eight calls to a stock service, which clients' stock requests use as
+ * well.
  *
  * The instances of the stock service differ in speed by more than a factor of two.
  * @param factor Factor on all rates; at one the stock service is in use by about 0.6.
