Admission no longer corrects costs by planned over observed use; it plans for 1.1 of the capacity

Hypothesis: each node takes its own plan for the cause of a load that all nodes cause. Callers fare by the VM that they happen to be on. Test NodesThatStartedAtDifferentTimesAdmitAlike: 0.30 and 0.51 before, within 0.05 after.

--- a/src/jasminelatch/mesh/tree_admission.cpp
+++ b/src/jasminelatch/mesh/tree_admission.cpp
@@ -150,8 +150,7 @@
         first = last;
     }
     for (const auto &[service, load] : planned) {
-        auto &plan = services_[service];
-        plan.planned += settings_.utilizationWeight * (load - plan.planned);
+        services_[service].planned = load;
     }
 }
 
@@ -264,10 +263,7 @@
     // leaves capacity unused after them.
     const auto maxLoad = settings_.maxLoad * capacity.limit;
     plan.plannedFraction = load > maxLoad ? std::max(maxLoad / load, settings_.minPlannedFraction) : 1.0;
-    // Costs are estimates, so the capacity is scaled by the ratio of planned to observed utilization.
-    const auto bias = plan.observed > 0.0 ? plan.planned / plan.observed : 1.0;
-    const auto boundedBias = std::clamp(bias, settings_.minBias, settings_.maxBias);
-    return capacity.limit * settings_.targetUtilization * plan.plannedFraction * plan.overcommit * boundedBias;
+    return capacity.limit * settings_.targetUtilization * plan.plannedFraction * plan.overcommit;
 }
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/tree_admission.hpp
+++ b/src/jasminelatch/mesh/tree_admission.hpp
@@ -45,8 +45,8 @@
 /*! @brief Admission plan of one service. */
 struct ServicePlan {
     ServiceCapacity capacity; /*!< Capacity and load at the last update. */
-    double planned{}; /*!< Moving average of the planned load: the concurrent requests that the admitted kinds are
-                           expected to cause, that is, the sum of admitted rate times cost. */
+    double planned{}; /*!< Planned load: the concurrent requests that the admitted kinds are expected to cause, that is,
+                           the sum of admitted rate times cost. */
     double observed{}; /*!< Moving average of the concurrent requests observed. */
     double plannedFraction{1.0}; /*!< Fraction of the capacity that admission plans with. */
     double overcommit{}; /*!< Factor, at least one, by which the planned load may exceed the capacity that admission
@@ -71,8 +71,8 @@
 public:
     /*! @brief Tuning parameters; fractions lie between zero and one. */
     struct Settings {
-        double targetUtilization{0.97}; /*!< Fraction of a service's capacity to fill; the rest absorbs bursts of
-                                             arrivals. */
+        double targetUtilization{1.1}; /*!< Planned load per unit of the concurrency limit; above one, because arrivals
+                                            are uneven and short queues keep the slots in use. */
         double negligibleFraction{0.03}; /*!< Fraction of a service's capacity up to which the load of a kind is left
                                               to the margin of `targetUtilization`: learned costs are never exactly
                                               zero. */
@@ -80,18 +80,15 @@
         double maxLoad{1.5}; /*!< Running and queued requests per unit of the concurrency limit above which less is
                                   admitted, in proportion. */
         double minPlannedFraction{0.5}; /*!< Lower bound of `plannedFraction`. */
-        double highUtilization{0.8}; /*!< Utilization below which admission increases step by step. */
-        double overcommitIncrease{1.25}; /*!< Factor by which `overcommit` grows per update while requests are shed
+        double highUtilization{0.9}; /*!< Utilization below which admission increases step by step. */
+        double overcommitIncrease{1.15}; /*!< Factor by which `overcommit` grows per update while requests are shed
                                               although capacity is unused. */
         double overcommitDecrease{1.5}; /*!< Factor by which `overcommit` shrinks per update once the capacity is
                                              used. */
         double maxOvercommit{16.0}; /*!< Upper bound of `overcommit`, the ratio of planned load to capacity that
                                          admission allows. It is the largest overestimate of costs that `overcommit`
                                          makes up for. A service starts with it, since its costs are not known yet. */
-        double utilizationWeight{0.15}; /*!< Weight of the newest interval in planned and observed utilization. */
-        double minBias{0.7}; /*!< Lower bound of the ratio of planned to observed utilization that scales the
-                                  capacity. */
-        double maxBias{1.6}; /*!< Upper bound of the same ratio. */
+        double utilizationWeight{0.05}; /*!< Weight of the newest interval in the observed utilization. */
         Duration staleAfter{std::chrono::seconds{2}}; /*!< Time without a report after which a node's offered
                                                            requests are ignored. */
     };
