--- a/src/jasminelatch/model/simulation.cpp
+++ b/src/jasminelatch/model/simulation.cpp
@@ -84,9 +84,9 @@
     std::uint64_t child{};
 };
 
-Simulation::Simulation(Scenario scenario, SimulationSettings settings)
+Simulation::Simulation(Scenario scenario, const SimulationSettings &settings)
     : scenario_{std::move(scenario)}
-    , settings_{std::move(settings)}
+    , settings_{settings}
     , random_{settings_.seed}
     , now_{internal::start}
 {
--- a/src/jasminelatch/model/simulation.hpp
+++ b/src/jasminelatch/model/simulation.hpp
@@ -55,7 +55,7 @@
      * @param scenario Load and troubles.
      * @param settings Policy, seed and settings of the cores.
      */
-    Simulation(Scenario scenario, SimulationSettings settings);
+    Simulation(Scenario scenario, const SimulationSettings &settings);
 
     Simulation(const Simulation &) = delete;
     auto operator=(const Simulation &) -> Simulation & = delete;
