--- a/src/jasminelatch/sidecar/dialect.hpp
+++ b/src/jasminelatch/sidecar/dialect.hpp
@@ -30,6 +30,12 @@
     bool wrongInstance{}; /*!< Whether an instance other than the targeted one has answered. */
 };
 
+/*! @brief What an instance states about itself in an answer. */
+struct InstanceCondition {
+    std::optional<double> rateLimit; /*!< Requests per second that it accepts from all nodes; nothing if unlimited. */
+    bool isLeaving{}; /*!< Whether it is about to stop. */
+};
+
 /*! @brief Key-value item of the store, or its removal. */
 struct StoreItem {
     std::string key; /*!< Key in the store. */
@@ -73,6 +79,8 @@
     std::function<ClientCall(const mesh::Request &request)> readCall;
     std::function<void(mesh::Request &request, const mesh::HopRequest &hop, Duration remaining)> addForwardingFields;
     std::function<InstanceOutcome(const mesh::Answer &answer)> readOutcome;
+    /*! @brief Reads an instance's condition; returns nothing and sets `error` if a value is malformed. */
+    std::function<std::optional<InstanceCondition>(const mesh::Answer &answer, std::string &error)> readCondition;
     std::string echoField; /*!< Header field that an answer echoes to identify its request. */
     std::vector<std::string>
         reservedFields; /*!< Header fields that only nodes may set; they are removed from client requests. */
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -12,6 +12,9 @@
 /*! @brief `Retry-After` of a request whose instance is unreachable, leaving or another one. */
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds{200};
 
+/*! @brief Interval between log lines while the instance limits its rate. */
+constexpr Duration rateLimitLogInterval = std::chrono::seconds{1};
+
 /*! @brief Prefix of `HttpConnection` errors for responses that arrived but could not be parsed. */
 constexpr std::string_view malformedPrefix = "malformed";
 
@@ -24,6 +27,7 @@
     , pool_{context.loop, address, {.echoField = context.dialect.echoField, .budget = &context.budget}}
     , gate_{{}}
     , breaker_{{}}
+    , rateLimitLoggedAt_{context.loop.now()}
 {
 }
 
@@ -154,6 +158,11 @@
     return gate_.load();
 }
 
+auto LocalInstance::rateLimit() const -> std::optional<double>
+{
+    return rateLimit_;
+}
+
 auto LocalInstance::activeRequests() const -> std::size_t
 {
     return pending_.size();
@@ -176,6 +185,7 @@
         return;
     }
     hop.instanceId = record_.report().id;
+    ++startedSinceLog_;
     context_.dialect.addForwardingFields(hop.request, hop, hop.deadline - pending.startedAt);
     context_.learner.runStarted(hop.route, hop.deadline);
     pending.poolRequestId = pool_.send(hop.request, hop.idempotent, [this, requestId](HttpConnection::Result result) {
@@ -223,6 +233,36 @@
     advance();
 }
 
+auto LocalInstance::updateCondition(const mesh::Answer &answer) -> void
+{
+    std::string error;
+    const auto condition = context_.dialect.readCondition(answer, error);
+    if (!condition) {
+        context_.log.write("instance_condition_unreadable", {{"instance", record_.report().id}, {"error", error}});
+        return;
+    }
+    const auto before = std::exchange(rateLimit_, condition->rateLimit);
+    const auto isDue = rateLimit_ && context_.loop.now() - rateLimitLoggedAt_ >= internal::rateLimitLogInterval;
+    if (before != rateLimit_ || isDue) {
+        logRateLimit();
+    }
+}
+
+auto LocalInstance::logRateLimit() -> void
+{
+    const auto now = context_.loop.now();
+    const auto load = gate_.load();
+    context_.log.write("instance_rate_limit",
+                       {{"instance", record_.report().id},
+                        {"limit", rateLimit_ ? nlohmann::json(*rateLimit_) : nlohmann::json()},
+                        {"started", startedSinceLog_},
+                        {"since_ms", (now - rateLimitLoggedAt_).count() / 1000},
+                        {"running", load.running},
+                        {"queued", load.queued}});
+    startedSinceLog_ = 0;
+    rateLimitLoggedAt_ = now;
+}
+
 auto LocalInstance::recordRunEnd(const PendingRequest &pending) -> void
 {
     const auto &hop = pending.request;
@@ -245,6 +285,9 @@
     }
     const auto outcome = context_.dialect.readOutcome(*result.answer);
     reply.reached = true;
+    if (!outcome.wrongInstance) {
+        updateCondition(*result.answer);
+    }
     if (outcome.notExecuted || outcome.wrongInstance) {
         reply.outcome = mesh::HopOutcome::NotRun;
         reply.reason = outcome.wrongInstance ? mesh::HopReason::WrongInstance : mesh::HopReason::Rejected;
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace jasminelatch::sidecar {
@@ -101,6 +102,9 @@
     /*! @brief Returns the running and queued requests, the concurrency limit and the run time. */
     [[nodiscard]] auto load() const -> mesh::InstanceLoad;
 
+    /*! @brief Returns the requests per second that the instance accepts at most, or nothing if it is unlimited. */
+    [[nodiscard]] auto rateLimit() const -> std::optional<double>;
+
     /*! @brief Returns the number of requests that are running or queued. */
     [[nodiscard]] auto activeRequests() const -> std::size_t;
 
@@ -117,6 +121,8 @@
     auto run(std::uint64_t requestId) -> void;
     auto refuseQueued() -> void;
     auto handleResult(std::uint64_t requestId, HttpConnection::Result result) -> void;
+    auto updateCondition(const mesh::Answer &answer) -> void;
+    auto logRateLimit() -> void;
     auto recordRunEnd(const PendingRequest &pending) -> void;
     auto refuseUnreachable(std::uint64_t requestId) -> void;
     auto updateBreaker(const HttpConnection::Result &result) -> void;
@@ -137,6 +143,9 @@
     std::map<std::uint64_t, PendingRequest> pending_;
     std::uint64_t lastRequestId_{};
     event::TimerId sweepTimer_{};
+    std::optional<double> rateLimit_; /*!< Limit that the instance named last. */
+    std::uint64_t startedSinceLog_{}; /*!< Requests sent since the last log line on the rate limit. */
+    TimePoint rateLimitLoggedAt_;
     bool stopped_{};
 };
 
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -361,6 +361,7 @@
             {"instance_running", load.running},
             {"instance_queued", load.queued},
             {"instance_limit", load.limit},
+            {"instance_rate_limit", instance_.rateLimit().value_or(-1.0)},
             {"instance_run_seconds", std::chrono::duration<double>(load.runTime).count()},
             {"entry_active", static_cast<double>(router_.activeRequests())}};
 }
--- a/test/jasminelatch/platform/decode.cpp
+++ b/test/jasminelatch/platform/decode.cpp
@@ -150,6 +150,31 @@
     EXPECT_EQ(*mesh::findField(request.fields, "Attempt-Id"), "id-1");
 }
 
+TEST(Dialect, ReadsTheConditionOfAnInstance)
+{
+    const auto dialect = makeDialect();
+    std::string error;
+    const auto limited = dialect.readCondition({503, {}, {{"server-limit", "12.5"}, {"Server-Leaving", "1"}}, {}}, error);
+    ASSERT_TRUE(limited);
+    EXPECT_EQ(limited->rateLimit, 12.5);
+    EXPECT_TRUE(limited->isLeaving);
+    const auto plain = dialect.readCondition({200, {}, {{"Server-Leaving", "0"}}, {}}, error);
+    ASSERT_TRUE(plain);
+    EXPECT_FALSE(plain->rateLimit);
+    EXPECT_FALSE(plain->isLeaving);
+    EXPECT_TRUE(error.empty());
+}
+
+TEST(Dialect, ReportsAMalformedRateLimit)
+{
+    const auto dialect = makeDialect();
+    for (const std::string text : {"", "-1", "nan", "inf", "12 a second", "1e999"}) {
+        std::string error;
+        EXPECT_FALSE(dialect.readCondition({200, {}, {{"Server-Limit", text}}, {}}, error)) << text;
+        EXPECT_FALSE(error.empty()) << text;
+    }
+}
+
 TEST(StoreProtocol, DecodesItemsAndChanges)
 {
     const auto protocol = makeStoreProtocol();
