Keep the rate that an instance states in its answers

Cause: the gate beside an instance bounded how many requests run at once, never how many start; the limit was passed on to the client and not read. Class: a statement of an instance that is forwarded without being acted on.

All requests to an instance pass the one node beside it, so that node keeps the rate: a token bucket with a depth of a quarter of a second. Between two answers that state a limit one without it does not end it (1 s), as answers overtake each other. A node that starts beside a running instance, or finds a new start of it, sends four requests until the first answer tells; the answer to its health query counts. Other nodes see the limit as the concurrency that it amounts to, so that placement and admission plan with it; one that has used up its rate appears full.

Ruled out: retries (queue 0, no retry in the logs). Not needed: telling peers of the limit, since no request has another way to the instance.

The expectations of InstanceGate's tests are unchanged; load() takes the time now.

--- a/src/jasminelatch/mesh/fwd.hpp
+++ b/src/jasminelatch/mesh/fwd.hpp
@@ -7,6 +7,7 @@
 class Freshness;
 class InstanceBreaker;
 class InstanceGate;
+class InstanceRateLimit;
 class InstanceRecord;
 class Placement;
 class RetryBudget;
--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -18,6 +18,7 @@
 
 InstanceGate::InstanceGate(Settings settings)
     : settings_{settings}
+    , rateLimit_{settings.rateLimit}
 {
 }
 
@@ -26,6 +27,21 @@
     slots_ = slots;
 }
 
+auto InstanceGate::recordAnswer(const std::optional<double> limit, const TimePoint now) -> bool
+{
+    return rateLimit_.recordAnswer(limit, now);
+}
+
+auto InstanceGate::awaitFirstAnswer(const TimePoint now) -> void
+{
+    rateLimit_.awaitFirstAnswer(now);
+}
+
+auto InstanceGate::rateLimit() const noexcept -> std::optional<double>
+{
+    return rateLimit_.limit();
+}
+
 auto InstanceGate::setFleetProfiles(const std::map<std::string, RouteProfile> &profiles) -> void
 {
     auto runs = 0.0;
@@ -49,13 +65,15 @@
         if (!canFinish(item, now)) {
             return {Decision::Kind::Refuse, settings_.minRetryAfter};
         }
-        running_.emplace(item.id, std::move(item.route));
-        return {Decision::Kind::Run, {}};
+        if (rateLimit_.take(now)) {
+            running_.emplace(item.id, std::move(item.route));
+            return {Decision::Kind::Run, {}};
+        }
     }
     const QueueKey key{item.rank, ++arrivals_};
     const auto ahead = static_cast<std::size_t>(std::distance(queue_.begin(), queue_.lower_bound(key)));
-    if (queue_.size() >= settings_.maxQueued || !canFinish(item, now + expectedWait(ahead))) {
-        return {Decision::Kind::Refuse, retryAfter()};
+    if (queue_.size() >= settings_.maxQueued || !canFinish(item, now + expectedWait(ahead, now))) {
+        return {Decision::Kind::Refuse, retryAfter(now)};
     }
     queueKeys_.emplace(item.id, key);
     queue_.emplace(key, std::move(item));
@@ -99,13 +117,13 @@
     for (auto next = queue_.begin(); next != queue_.end();) {
         auto &item = next->second;
         const auto expired = !canFinish(item, now);
-        if (!expired && running_.size() >= limit()) {
+        if (!expired && (running_.size() >= limit() || !rateLimit_.take(now))) {
             ++next;
             continue;
         }
         queueKeys_.erase(item.id);
         if (expired) {
-            dispatched.refused.push_back({item.id, retryAfter()});
+            dispatched.refused.push_back({item.id, retryAfter(now)});
         } else {
             dispatched.run.push_back(item.id);
             running_.emplace(item.id, std::move(item.route));
@@ -126,12 +144,25 @@
     return ids;
 }
 
-auto InstanceGate::load() const -> InstanceLoad
+auto InstanceGate::load(const TimePoint now) const -> InstanceLoad
+{
+    InstanceLoad load{
+        static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(queue_.size()), limit(), runTime()};
+    if (const auto rate = rateLimit_.limit(); rate && load.limit > 0) {
+        const auto usual = load.runTime == Duration::zero() ? settings_.defaultRunTime : load.runTime;
+        const auto concurrency = *rate * std::chrono::duration<double>(usual).count();
+        load.limit = std::clamp(static_cast<std::uint32_t>(std::min<double>(concurrency, limit())), 1U, limit());
+        if (rateLimit_.wait(0, now) > Duration::zero()) {
+            load.running = std::max(load.running, load.limit);
+        }
+    }
+    return load;
+}
+
+auto InstanceGate::runTime() const -> Duration
 {
     const auto relative = static_cast<double>(fleetRunTime_.count()) * slowness_;
-    const auto runTime =
-        fleetRunTime_ > Duration::zero() ? Duration{static_cast<Duration::rep>(relative)} : meanRunTime_;
-    return {static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(queue_.size()), limit(), runTime};
+    return fleetRunTime_ > Duration::zero() ? Duration{static_cast<Duration::rep>(relative)} : meanRunTime_;
 }
 
 auto InstanceGate::limit() const -> std::uint32_t
@@ -140,16 +171,18 @@
     return slots_ == 0 ? 0 : std::max(used, 1U);
 }
 
-auto InstanceGate::expectedWait(const std::size_t ahead) const -> Duration
+auto InstanceGate::expectedWait(const std::size_t ahead, const TimePoint now) const -> Duration
 {
     const auto slots = std::max<std::uint32_t>(limit(), 1);
     const auto runTime = meanRunTime_ == Duration::zero() ? settings_.defaultRunTime : meanRunTime_;
-    return runTime * static_cast<Duration::rep>(ahead + 1) / slots;
+    const auto isFull = running_.size() >= limit();
+    const auto forSlot = isFull ? Duration{runTime * static_cast<Duration::rep>(ahead + 1) / slots} : Duration::zero();
+    return std::max(forSlot, rateLimit_.wait(ahead, now));
 }
 
-auto InstanceGate::retryAfter() const -> Duration
+auto InstanceGate::retryAfter(const TimePoint now) const -> Duration
 {
-    return std::max(expectedWait(queue_.size()), settings_.minRetryAfter);
+    return std::max(expectedWait(queue_.size(), now), settings_.minRetryAfter);
 }
 
 auto InstanceGate::canFinish(const Item &item, const TimePoint start) const -> bool
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -3,11 +3,13 @@
 
 #include "call_learner.hpp"
 #include "hop.hpp"
+#include "instance_rate_limit.hpp"
 
 #include <jasminelatch/core/clock.hpp>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -16,10 +18,11 @@
 namespace jasminelatch::mesh {
 
 /**
- * @brief Concurrency limiter with a priority queue in front of the local instance.
+ * @brief Concurrency and rate limiter with a priority queue in front of the local instance.
  *
- * Load pattern: more requests arrive than the instance has slots for. A bounded number runs; the others wait by rank
- * and arrival. A request that cannot finish in time is refused before it starts, as soon as that is known.
+ * Load pattern: more requests arrive than the instance has slots for, or than it states that it accepts. A bounded
+ * number runs; the others wait by rank and arrival. A request that cannot finish in time is refused before it starts,
+ * as soon as that is known.
  */
 class InstanceGate
 {
@@ -31,6 +34,7 @@
         double runTimeEwmaWeight{0.05}; /*!< Weight of the newest run in the moving average of the run time. */
         Duration defaultRunTime{std::chrono::milliseconds{50}}; /*!< Mean run time before the first run. */
         Duration minRetryAfter{std::chrono::milliseconds{100}}; /*!< Lower bound of the retry delay after a refusal. */
+        InstanceRateLimit::Settings rateLimit; /*!< Limit on requests per second. */
         std::size_t maxQueued{2000}; /*!< Maximum queue length; bounds the memory of queued requests. */
     };
 
@@ -74,6 +78,23 @@
      */
     auto setSlots(std::uint32_t slots) -> void;
 
+    /**
+     * @brief Applies the rate limit that an answer of the instance states.
+     * @param limit Requests per second from all nodes together, or nothing.
+     * @param now Current time.
+     * @return Whether the limit has changed.
+     */
+    auto recordAnswer(std::optional<double> limit, TimePoint now) -> bool;
+
+    /**
+     * @brief Forgets the rate limit and sends few requests until the next answer.
+     * @param now Current time.
+     */
+    auto awaitFirstAnswer(TimePoint now) -> void;
+
+    /*! @brief Returns the requests per second that the instance states, or nothing. */
+    [[nodiscard]] auto rateLimit() const noexcept -> std::optional<double>;
+
     /**
      * @brief Sets the run times that the service's instances need on average, against which this one is compared.
      * @param profiles Profiles of all nodes together, by route.
@@ -111,23 +132,29 @@
     /**
      * @brief Returns running and queued requests, the limit and the run time.
      *
+     * A rate limit appears as the concurrency that it amounts to, so that other nodes plan with it like with slots; an
+     * instance that has used up its rate appears full.
+     *
      * Load pattern: requests of several routes share an instance, and their run times differ more than the speeds of
      * instances do. The mean of the runs that an instance happened to get says little about its speed, so the run time
      * returned is what the instance needs for the mean request of its service.
+     * @param now Current time.
      */
-    [[nodiscard]] auto load() const -> InstanceLoad;
+    [[nodiscard]] auto load(TimePoint now) const -> InstanceLoad;
 
 private:
     /*! @brief Order of the queue: rank, then arrival. */
     using QueueKey = std::tuple<std::uint32_t, std::uint64_t>;
 
     [[nodiscard]] auto limit() const -> std::uint32_t;
-    [[nodiscard]] auto expectedWait(std::size_t ahead) const -> Duration;
-    [[nodiscard]] auto retryAfter() const -> Duration;
+    [[nodiscard]] auto expectedWait(std::size_t ahead, TimePoint now) const -> Duration;
+    [[nodiscard]] auto retryAfter(TimePoint now) const -> Duration;
+    [[nodiscard]] auto runTime() const -> Duration;
     [[nodiscard]] auto canFinish(const Item &item, TimePoint start) const -> bool;
     auto recordRunTime(const std::string &route, Duration runTime) -> void;
 
     Settings settings_;
+    InstanceRateLimit rateLimit_;
     std::uint32_t slots_{};
     std::uint64_t arrivals_{};
     std::map<QueueKey, Item> queue_;
--- a/src/jasminelatch/mesh/instance_record.cpp
+++ b/src/jasminelatch/mesh/instance_record.cpp
@@ -2,23 +2,18 @@
 
 namespace jasminelatch::mesh {
 
-namespace internal {
-
-/*! @brief Returns whether two reports come from the same process start; zero matches any start of the same id. */
-auto sameStart(const InstanceReport &left, const InstanceReport &right) -> bool
+auto isSameStart(const InstanceReport &left, const InstanceReport &right) -> bool
 {
     return left.id == right.id
         && (left.startTimeMs == right.startTimeMs || left.startTimeMs == 0 || right.startTimeMs == 0);
 }
 
-} // namespace internal
-
 auto InstanceRecord::apply(const InstanceReport &report) -> bool
 {
     if (isStale(report)) {
         return false;
     }
-    const auto sameStart = internal::sameStart(report, report_);
+    const auto sameStart = isSameStart(report, report_);
     const auto isDeregistration = report.state == InstanceState::Gone;
     if (sameStart && isDeregistration) {
         // A deregistration carries no sequence number and no slots.
@@ -49,7 +44,7 @@
 
 auto InstanceRecord::isStale(const InstanceReport &report) const -> bool
 {
-    if (internal::sameStart(report, report_)) {
+    if (isSameStart(report, report_)) {
         return report.state != InstanceState::Gone && report.sequence <= report_.sequence;
     }
     return report.startTimeMs < report_.startTimeMs;
--- a/src/jasminelatch/mesh/instance_record.hpp
+++ b/src/jasminelatch/mesh/instance_record.hpp
@@ -26,6 +26,14 @@
     std::uint64_t startTimeMs{}; /*!< Process start in Unix milliseconds; zero if not reported. */
 };
 
+/**
+ * @brief Tells whether two reports come from the same process start; an unknown start time matches any start of the id.
+ * @param left First report.
+ * @param right Second report.
+ * @return Whether the ids are equal and the start times do not differ.
+ */
+[[nodiscard]] auto isSameStart(const InstanceReport &left, const InstanceReport &right) -> bool;
+
 /**
  * @brief State of the local instance according to its reports; stale reports are ignored.
  *
--- a/src/jasminelatch/model/simulation.cpp
+++ b/src/jasminelatch/model/simulation.cpp
@@ -217,7 +217,7 @@
     report.incarnation = self.member.incarnation;
     report.instanceId = self.member.instanceId;
     report.accepting = !self.isAway;
-    report.load = self.gate.load();
+    report.load = self.gate.load(now_);
     report.offered = self.admission.offered();
     report.profiles = self.learner.profiles();
     self.placement.applyReport(report);
@@ -241,7 +241,7 @@
     const auto weight = std::chrono::duration<double>(internal::sampleInterval).count();
     std::map<std::string, mesh::ServiceCapacity> loads;
     for (const auto node : joined_) {
-        const auto load = nodes_[node]->gate.load();
+        const auto load = nodes_[node]->gate.load(now_);
         auto &sum = loads[nodes_[node]->member.service];
         sum.limit += nodes_[node]->isAway ? 0.0 : load.limit;
         sum.running += load.running;
@@ -404,7 +404,7 @@
               [this, id] { finishRun(id, mesh::HopOutcome::NotRun, mesh::HopReason::Rejected); });
         return;
     }
-    const auto isBeyondKnee = node.gate.load().running > node.service->knee * node.instance.slots;
+    const auto isBeyondKnee = node.gate.load(now_).running > node.service->knee * node.instance.slots;
     const auto factor = (isBeyondKnee ? node.service->kneeFactor : 1.0) * troubleFactor(TroubleModel::Kind::Slow, &node)
                       / node.instance.speed;
     // The mean of a log-normal distribution is exp(mu + sigma^2 / 2).
@@ -476,7 +476,7 @@
     }
     const auto position = request.node;
     leaveNode(id, request);
-    result.load = node.gate.load();
+    result.load = node.gate.load(now_);
     reply(id, std::move(result));
     advance(position);
 }
@@ -492,7 +492,7 @@
     for (const auto id : dispatched.run) {
         startRun(id);
     }
-    if (node.gate.load().queued > 0 && !node.isSweepScheduled) {
+    if (node.gate.load(now_).queued > 0 && !node.isSweepScheduled) {
         node.isSweepScheduled = true;
         after(internal::sweepInterval, [this, position] {
             nodes_[position]->isSweepScheduled = false;
@@ -613,7 +613,7 @@
     refused.outcome = mesh::HopOutcome::NotRun;
     refused.reason = reason;
     refused.retryAfter = std::max(retryAfter, mesh::minRetryAfter);
-    refused.load = nodes_[node]->gate.load();
+    refused.load = nodes_[node]->gate.load(now_);
     return refused;
 }
 
@@ -624,7 +624,7 @@
     auto running = 0.0;
     for (const auto node : joined_) {
         if (nodes_[node]->member.service == model.service) {
-            const auto load = nodes_[node]->gate.load();
+            const auto load = nodes_[node]->gate.load(now_);
             limit += load.limit;
             running += load.running + load.queued;
         }
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -29,6 +29,7 @@
     , breaker_{{}}
     , rateLimitLoggedAt_{context.loop.now()}
 {
+    gate_.awaitFirstAnswer(context_.loop.now());
 }
 
 auto LocalInstance::report(const mesh::InstanceReport &report) -> bool
@@ -38,6 +39,9 @@
         return false;
     }
     const auto &latest = record_.report();
+    if (!before.id.empty() && !mesh::isSameStart(before, latest)) {
+        gate_.awaitFirstAnswer(context_.loop.now());
+    }
     const auto hasRestarted = before.id != latest.id || before.startTimeMs != latest.startTimeMs;
     if (hasRestarted) {
         pool_.reset();
@@ -71,6 +75,9 @@
     const mesh::Request request{"GET", path, {{"Host", event::toText(address_)}}, {}};
     pool_.send(request, true, [this, found = std::move(found)](const HttpConnection::Result &result) {
         const auto report = result.answer ? context_.dialect.readHealth(*result.answer) : std::nullopt;
+        if (report) {
+            updateCondition(*result.answer);
+        }
         context_.log.write("instance_asked", {{"healthy", report.has_value()}, {"error", result.error}});
         if (report) {
             found(*report);
@@ -155,12 +162,12 @@
 
 auto LocalInstance::load() const -> mesh::InstanceLoad
 {
-    return gate_.load();
+    return gate_.load(context_.loop.now());
 }
 
 auto LocalInstance::rateLimit() const -> std::optional<double>
 {
-    return rateLimit_;
+    return gate_.rateLimit();
 }
 
 auto LocalInstance::activeRequests() const -> std::size_t
@@ -241,9 +248,10 @@
         context_.log.write("instance_condition_unreadable", {{"instance", record_.report().id}, {"error", error}});
         return;
     }
-    const auto before = std::exchange(rateLimit_, condition->rateLimit);
-    const auto isDue = rateLimit_ && context_.loop.now() - rateLimitLoggedAt_ >= internal::rateLimitLogInterval;
-    if (before != rateLimit_ || isDue) {
+    const auto now = context_.loop.now();
+    const auto hasChanged = gate_.recordAnswer(condition->rateLimit, now);
+    const auto isDue = gate_.rateLimit() && now - rateLimitLoggedAt_ >= internal::rateLimitLogInterval;
+    if (hasChanged || isDue) {
         logRateLimit();
     }
 }
@@ -251,10 +259,11 @@
 auto LocalInstance::logRateLimit() -> void
 {
     const auto now = context_.loop.now();
-    const auto load = gate_.load();
+    const auto load = gate_.load(now);
+    const auto limit = gate_.rateLimit();
     context_.log.write("instance_rate_limit",
                        {{"instance", record_.report().id},
-                        {"limit", rateLimit_ ? nlohmann::json(*rateLimit_) : nlohmann::json()},
+                        {"limit", limit ? nlohmann::json(*limit) : nlohmann::json()},
                         {"started", startedSinceLog_},
                         {"since_ms", (now - rateLimitLoggedAt_).count() / 1000},
                         {"running", load.running},
@@ -272,7 +281,7 @@
 auto LocalInstance::toReply(HttpConnection::Result &&result) -> mesh::HopReply
 {
     mesh::HopReply reply;
-    reply.load = gate_.load();
+    reply.load = gate_.load(context_.loop.now());
     if (!result.answer) {
         reply.reached = result.sent;
         reply.outcome = result.sent ? mesh::HopOutcome::Unknown : mesh::HopOutcome::NotRun;
@@ -357,7 +366,7 @@
     for (const auto requestId : advanced.run) {
         run(requestId);
     }
-    if (gate_.load().queued > 0) {
+    if (gate_.load(context_.loop.now()).queued > 0) {
         scheduleSweep();
     }
 }
@@ -378,7 +387,7 @@
     reply.outcome = mesh::HopOutcome::NotRun;
     reply.reason = reason;
     reply.retryAfter = retryAfter;
-    reply.load = gate_.load();
+    reply.load = gate_.load(context_.loop.now());
     return reply;
 }
 
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -143,7 +143,6 @@
     std::map<std::uint64_t, PendingRequest> pending_;
     std::uint64_t lastRequestId_{};
     event::TimerId sweepTimer_{};
-    std::optional<double> rateLimit_; /*!< Limit that the instance named last. */
     std::uint64_t startedSinceLog_{}; /*!< Requests sent since the last log line on the rate limit. */
     TimePoint rateLimitLoggedAt_;
     bool stopped_{};
--- a/test/jasminelatch/mesh/instance_gate.cpp
+++ b/test/jasminelatch/mesh/instance_gate.cpp
@@ -37,7 +37,7 @@
 TEST(InstanceGate, LeavesAFractionOfTheSlotsFree)
 {
     auto gate = warmGate();
-    EXPECT_EQ(gate.load().limit, 9U);
+    EXPECT_EQ(gate.load(start).limit, 9U);
     for (std::uint64_t id = 0; id < 9; ++id) {
         EXPECT_EQ(gate.offer(item(id, 1), start).kind, Kind::Run);
     }
@@ -104,7 +104,7 @@
         gate.offer(item(id, 1), start);
     }
     EXPECT_EQ(gate.clearQueue().size(), 3U);
-    EXPECT_EQ(gate.load().running, 9U);
+    EXPECT_EQ(gate.load(start).running, 9U);
 }
 
 RC_GTEST_PROP(InstanceGate, NeverExceedsItsLimitAndTracksEveryRequest, ())
@@ -138,9 +138,9 @@
         for (const auto &refused : dispatched.refused) {
             RC_ASSERT(waiting.erase(refused.id) == 1U);
         }
-        RC_ASSERT(running.size() <= gate.load().limit);
-        RC_ASSERT(gate.load().running == running.size());
-        RC_ASSERT(gate.load().queued == waiting.size());
+        RC_ASSERT(running.size() <= gate.load(now).limit);
+        RC_ASSERT(gate.load(now).running == running.size());
+        RC_ASSERT(gate.load(now).queued == waiting.size());
     }
 }
 
@@ -159,7 +159,7 @@
             gate.setFleetProfiles(fleet);
             gate.finish(id, (isLong ? 320ms : 20ms) * slowness);
         }
-        return gate.load().runTime;
+        return gate.load(start).runTime;
     };
     // The mean request takes 0.9 * 20 ms + 0.1 * 320 ms.
     EXPECT_NEAR(static_cast<double>(runTimeAfter(50, 1).count()), 50e3, 1e3);
@@ -170,7 +170,7 @@
 TEST(InstanceGate, ReportsTheMeanRunTimeBeforeTheFleetIsKnown)
 {
     const auto gate = warmGate();
-    EXPECT_EQ(gate.load().runTime, 100ms);
+    EXPECT_EQ(gate.load(start).runTime, 100ms);
 }
 
 } // namespace jasminelatch::mesh
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -187,6 +187,29 @@
         << "an instance that has not departed is used even before its first report";
 }
 
+TEST_F(NodeTest, AnInstanceThatStatesARateLimitGetsNoMoreRequests)
+{
+    back.instance.extraFields = {{"Server-Limit", "4.0"}};
+    EXPECT_EQ(fetch("/m/1", "k1").status, 200U);
+    const auto before = back.instance.requests.size();
+    auto answered = 0;
+    const auto end = loopback.clock.now() + 4s;
+    while (loopback.clock.now() < end) {
+        answered += fetch("/m/1", "k1").status == 200 ? 1 : 0;
+        loopback.runFor(20ms);
+    }
+    // The terms allow 1.5 times the limit and five requests.
+    EXPECT_LE(back.instance.requests.size() - before, 4U * 6U + 5U);
+    EXPECT_GE(answered, 12);
+    back.instance.extraFields.clear();
+    loopback.runFor(1s);
+    fetch("/m/1", "k1");
+    loopback.runFor(500ms);
+    for (auto count = 0; count < 30; ++count) {
+        EXPECT_EQ(fetch("/m/1", "k1").status, 200U) << "the limit has ended";
+    }
+}
+
 TEST_F(NodeTest, AWithdrawnKeyIsRejectedAndAnOlderConfigurationIsIgnored)
 {
     store.put("op/config", configuration("0000000e", R"("k2")"));
--- a/test/jasminelatch/sidecar/test_node.hpp
+++ b/test/jasminelatch/sidecar/test_node.hpp
@@ -80,6 +80,7 @@
         const auto *attempt = mesh::findField(requests[index].fields, "Attempt-Id");
         mesh::Answer answer{
             200, {}, {{"Response-Seal", "seal-" + id}, {"Instance-Id", id}, {"Instance-Load", "0,0,20"}}, "from " + id};
+        answer.fields.insert(answer.fields.end(), extraFields.begin(), extraFields.end());
         if (attempt != nullptr) {
             answer.fields.push_back({"Attempt-Id", *attempt});
         }
@@ -90,6 +91,7 @@
     event::Endpoint endpoint{Loopback::freeEndpoint()};
     std::vector<mesh::Request> requests;
     std::vector<HttpServer::Respond> responders;
+    std::vector<mesh::Field> extraFields; /*!< Added to every answer. */
     int cancelled{};
     bool answersAtOnce{true};
     HttpServer server;
