Send nothing to an instance whose answers say that it is leaving

An instance that leaves says so in its answers, also where its report never comes or its node has restarted since. The header was passed on to clients and not read: the same class of fault as the rate limit. Tests failed on: 2 requests reached an instance after such an answer; a report that was sent before a departure and arrived after the restart of its node brought the instance back.

The node beside the instance stops at once and publishes the departure, which its next process reads from the store; a late report of that start no longer overrides it. Each entry node also remembers the departures in the answers that it has passed on, for the time in which the store is away and the restarted node knows nothing. Members now carry the start of the instance, so that another start under the same id is used; the field may be missing in records of earlier versions.

--- a/src/jasminelatch/mesh/instance_record.cpp
+++ b/src/jasminelatch/mesh/instance_record.cpp
@@ -1,5 +1,7 @@
 #include "instance_record.hpp"
 
+#include <algorithm>
+
 namespace jasminelatch::mesh {
 
 auto isSameStart(const InstanceReport &left, const InstanceReport &right) -> bool
@@ -32,6 +34,11 @@
     return true;
 }
 
+auto InstanceRecord::markLeaving() -> void
+{
+    report_.state = std::max(report_.state, InstanceState::Draining);
+}
+
 auto InstanceRecord::isReady() const -> bool
 {
     return !report_.id.empty() && report_.state == InstanceState::Ready;
--- a/src/jasminelatch/mesh/instance_record.hpp
+++ b/src/jasminelatch/mesh/instance_record.hpp
@@ -53,6 +53,9 @@
      */
     auto apply(const InstanceReport &report) -> bool;
 
+    /*! @brief Marks the present start of the instance as draining, since one of its answers says that it is leaving. */
+    auto markLeaving() -> void;
+
     /*! @brief Returns whether the local instance is registered with this node and is not draining. */
     [[nodiscard]] auto isReady() const -> bool;
 
--- a/src/jasminelatch/mesh/member.cpp
+++ b/src/jasminelatch/mesh/member.cpp
@@ -22,7 +22,8 @@
                               {"slots", member.slots},
                               {"accepting", member.accepting},
                               {"coldForMs", member.coldStartRemaining.count() / 1000},
-                              {"version", member.version}};
+                              {"version", member.version},
+                              {"instanceStartMs", member.instanceStartMs}};
     return json.dump();
 }
 
@@ -43,7 +44,8 @@
                       json.at("slots").get<std::uint32_t>(),
                       json.at("accepting").get<bool>(),
                       std::chrono::milliseconds{json.at("coldForMs").get<std::int64_t>()},
-                      json.value("version", std::uint64_t{0})};
+                      json.value("version", std::uint64_t{0}),
+                      json.value("instanceStartMs", std::uint64_t{0})};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/src/jasminelatch/mesh/member.hpp
+++ b/src/jasminelatch/mesh/member.hpp
@@ -23,6 +23,7 @@
     bool accepting{}; /*!< Whether the instance accepts new requests. */
     Duration coldStartRemaining{}; /*!< Remaining cold start of the instance when the record was written. */
     std::uint64_t version{}; /*!< Increases with every change of the record within one incarnation. */
+    std::uint64_t instanceStartMs{}; /*!< Start of the instance's process in Unix milliseconds; zero if unknown. */
 
     auto operator==(const Member &) const -> bool = default;
 };
--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -39,6 +39,14 @@
     }
 }
 
+auto Placement::markLeaving(const std::string &name, const std::string &instanceId, const TimePoint now) -> void
+{
+    std::erase_if(departures_, [&](const auto &entry) { return now - entry.second.at > settings_.departureMemory; });
+    const auto found = endpoints_.find(name);
+    const auto isCurrent = found != endpoints_.end() && found->second.member.instanceId == instanceId;
+    departures_[name] = {instanceId, isCurrent ? found->second.member.instanceStartMs : 0, now};
+}
+
 auto Placement::applyReport(const NodeReport &report) -> void
 {
     applyStatus(
@@ -64,7 +72,7 @@
     std::vector<const Endpoint *> healthy;
     std::vector<const Endpoint *> ejected;
     for (const auto &[name, endpoint] : endpoints_) {
-        if (endpoint.member.service == service && endpoint.member.accepting
+        if (endpoint.member.service == service && accepts(endpoint)
             && std::ranges::find(exclude, name) == exclude.end()) {
             (endpoint.ejectedUntil > now || !endpoint.isReachable ? ejected : healthy).push_back(&endpoint);
         }
@@ -126,7 +134,7 @@
 {
     ServiceCapacity capacity;
     for (const auto &[name, endpoint] : endpoints_) {
-        if (endpoint.member.service == service && endpoint.member.accepting && endpoint.isReachable) {
+        if (endpoint.member.service == service && accepts(endpoint) && endpoint.isReachable) {
             capacity.limit += endpoint.load.limit > 0 ? endpoint.load.limit : endpoint.member.slots;
             capacity.running += endpoint.load.running;
             capacity.queued += endpoint.load.queued;
@@ -135,6 +143,18 @@
     return capacity;
 }
 
+auto Placement::accepts(const Endpoint &endpoint) const -> bool
+{
+    const auto &member = endpoint.member;
+    const auto found = departures_.find(member.name);
+    if (found == departures_.end() || found->second.instanceId != member.instanceId) {
+        return member.accepting;
+    }
+    const auto departed = found->second.instanceStartMs;
+    const auto isOtherStart = departed != 0 && member.instanceStartMs != 0 && departed != member.instanceStartMs;
+    return member.accepting && isOtherStart;
+}
+
 auto Placement::meanRunTime(const std::string &service) const -> Duration
 {
     Duration sum{};
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -42,6 +42,8 @@
         Duration defaultRunTime{std::chrono::milliseconds{50}}; /*!< Run time assumed for a service without reports. */
         double queuePenalty{6.0}; /*!< Run times that a queue as long as the limit counts as; requests of higher rank
                                        may overtake. */
+        Duration departureMemory{std::chrono::minutes{10}}; /*!< Time for which an instance that was said to leave is
+                                                                 not selected; longer than any drain. */
         double explorationFraction{0.02}; /*!< Fraction of requests sent to a random instance, so that new and
                                                recovered instances get traffic. */
     };
@@ -74,6 +76,17 @@
      */
     auto setReachable(const std::string &name, bool isReachable) -> void;
 
+    /**
+     * @brief Excludes an instance that says that it is leaving, whatever its node reports later.
+     *
+     * Load pattern: the node beside a leaving instance restarts, has forgotten the departure, and reports that the
+     * instance accepts requests. Another start of the instance is not excluded.
+     * @param name Name of its VM.
+     * @param instanceId Id of the instance.
+     * @param now Current time.
+     */
+    auto markLeaving(const std::string &name, const std::string &instanceId, TimePoint now) -> void;
+
     /**
      * @brief Updates load and state of an instance from its node's report.
      * @param report The report; ignored if it belongs to another incarnation.
@@ -131,6 +144,14 @@
         bool isReachable{true};
     };
 
+    /*! @brief Start of an instance that has said that it is leaving. */
+    struct Departure {
+        std::string instanceId;
+        std::uint64_t instanceStartMs{}; /*!< Zero if unknown, which matches every start. */
+        TimePoint at;
+    };
+
+    [[nodiscard]] auto accepts(const Endpoint &endpoint) const -> bool;
     [[nodiscard]] auto meanRunTime(const std::string &service) const -> Duration;
     [[nodiscard]] auto expectedTime(const Endpoint &endpoint, Duration meanRunTime, TimePoint now) const -> double;
     static auto updateLoad(Endpoint &endpoint, const InstanceLoad &load) -> void;
@@ -139,6 +160,7 @@
     std::string ownDomain_;
     std::mt19937_64 random_;
     std::map<std::string, Endpoint> endpoints_;
+    std::map<std::string, Departure> departures_; /*!< By name of the VM; outlives its endpoint. */
 };
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -20,10 +20,14 @@
 
 } // namespace internal
 
-LocalInstance::LocalInstance(Context context, const event::Endpoint &address, std::string service)
+LocalInstance::LocalInstance(Context context,
+                             const event::Endpoint &address,
+                             std::string service,
+                             std::function<void()> departed)
     : context_{context}
     , address_{address}
     , service_{std::move(service)}
+    , departed_{std::move(departed)}
     , pool_{context.loop, address, {.echoField = context.dialect.echoField, .budget = &context.budget}}
     , gate_{{}}
     , breaker_{{}}
@@ -75,8 +79,8 @@
     const mesh::Request request{"GET", path, {{"Host", event::toText(address_)}}, {}};
     pool_.send(request, true, [this, found = std::move(found)](const HttpConnection::Result &result) {
         const auto report = result.answer ? context_.dialect.readHealth(*result.answer) : std::nullopt;
-        if (report) {
-            updateCondition(*result.answer);
+        if (report && updateCondition(*result.answer)) {
+            return;
         }
         context_.log.write("instance_asked", {{"healthy", report.has_value()}, {"error", result.error}});
         if (report) {
@@ -85,6 +89,17 @@
     });
 }
 
+auto LocalInstance::markLeaving() -> void
+{
+    if (!record_.isReady()) {
+        return;
+    }
+    record_.markLeaving();
+    context_.log.write("instance_leaving", {{"instance", record_.report().id}});
+    refuseQueued();
+    departed_();
+}
+
 auto LocalInstance::stopAccepting() -> void
 {
     stopped_ = true;
@@ -232,21 +247,29 @@
     context_.counters.observe("instance.run_time", runTime);
     recordRunEnd(pending_.at(requestId));
     updateBreaker(result);
+    const auto isCurrent = pending_.at(requestId).request.instanceId == record_.report().id;
+    const auto isLeaving = isCurrent && result.answer && updateCondition(*result.answer);
     auto reply = toReply(std::move(result));
     constexpr unsigned firstFailure = 500;
     const auto hasSucceeded = reply.outcome == mesh::HopOutcome::Answered && reply.answer.status < firstFailure;
     gate_.finish(requestId, hasSucceeded ? runTime : Duration::zero());
     complete(requestId, std::move(reply));
+    if (isLeaving) {
+        markLeaving();
+    }
     advance();
 }
 
-auto LocalInstance::updateCondition(const mesh::Answer &answer) -> void
+auto LocalInstance::updateCondition(const mesh::Answer &answer) -> bool
 {
+    if (context_.dialect.readOutcome(answer).wrongInstance) {
+        return false;
+    }
     std::string error;
     const auto condition = context_.dialect.readCondition(answer, error);
     if (!condition) {
         context_.log.write("instance_condition_unreadable", {{"instance", record_.report().id}, {"error", error}});
-        return;
+        return false;
     }
     const auto now = context_.loop.now();
     const auto hasChanged = gate_.recordAnswer(condition->rateLimit, now);
@@ -254,6 +277,7 @@
     if (hasChanged || isDue) {
         logRateLimit();
     }
+    return condition->isLeaving;
 }
 
 auto LocalInstance::logRateLimit() -> void
@@ -294,9 +318,6 @@
     }
     const auto outcome = context_.dialect.readOutcome(*result.answer);
     reply.reached = true;
-    if (!outcome.wrongInstance) {
-        updateCondition(*result.answer);
-    }
     if (outcome.notExecuted || outcome.wrongInstance) {
         reply.outcome = mesh::HopOutcome::NotRun;
         reply.reason = outcome.wrongInstance ? mesh::HopReason::WrongInstance : mesh::HopReason::Rejected;
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -48,8 +48,9 @@
      * @param context Dependencies.
      * @param address Address of the instance.
      * @param service Service of the instance.
+     * @param departed Called when an answer of the instance says that it is leaving.
      */
-    LocalInstance(Context context, const event::Endpoint &address, std::string service);
+    LocalInstance(Context context, const event::Endpoint &address, std::string service, std::function<void()> departed);
 
     LocalInstance(const LocalInstance &) = delete;
     auto operator=(const LocalInstance &) -> LocalInstance & = delete;
@@ -70,6 +71,9 @@
      */
     auto queryHealth(const std::string &path, std::function<void(const mesh::InstanceReport &report)> found) -> void;
 
+    /*! @brief Stops sending requests to the present start of the instance, since it is leaving. */
+    auto markLeaving() -> void;
+
     /*! @brief Refuses queued and new requests from now on, since the node is about to stop; running ones finish. */
     auto stopAccepting() -> void;
 
@@ -121,7 +125,8 @@
     auto run(std::uint64_t requestId) -> void;
     auto refuseQueued() -> void;
     auto handleResult(std::uint64_t requestId, HttpConnection::Result result) -> void;
-    auto updateCondition(const mesh::Answer &answer) -> void;
+    /*! @brief Applies the condition that an answer states; returns whether the instance is leaving. */
+    auto updateCondition(const mesh::Answer &answer) -> bool;
     auto logRateLimit() -> void;
     auto recordRunEnd(const PendingRequest &pending) -> void;
     auto refuseUnreachable(std::uint64_t requestId) -> void;
@@ -136,6 +141,7 @@
     Context context_;
     event::Endpoint address_;
     std::string service_;
+    std::function<void()> departed_;
     InstancePool pool_;
     mesh::InstanceGate gate_;
     mesh::InstanceBreaker breaker_;
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -77,7 +77,12 @@
     , retryBudget_{internal::retryBudgetSettings(settings_)}
     , learner_{{}}
     , admission_{{}}
-    , instance_{{loop, dialect_, log_, counters_, learner_, budget_}, settings_.instance, settings_.service}
+    , instance_{{loop, dialect_, log_, counters_, learner_, budget_},
+                settings_.instance,
+                settings_.service,
+                [this] {
+                    publishOwnMember();
+                }}
     , registry_{{loop, dialect_, log_, counters_},
                 settings_.store,
                 internal::registrySettings(settings_),
@@ -206,7 +211,7 @@
         log_.write("report_rejected", {{"error", error.empty() ? "report names another service" : error}});
         return makeAnswer(internal::statusBadRequest, {});
     }
-    applyInstanceReport(*report);
+    applyInstanceReport(withKnownDeparture(*report));
     auto answer = makeAnswer(internal::statusOk, {});
     answer.fields.push_back({"Content-Type", "application/json"});
     answer.body = "{}";
@@ -247,6 +252,9 @@
 auto Node::handlePreviousRecord(const std::optional<mesh::Member> &record) -> void
 {
     previousRecord_ = record;
+    if (hasDeparted(instance_.latest())) {
+        instance_.markLeaving();
+    }
     if (const auto report = std::exchange(healthReport_, std::nullopt)) {
         applyUnlessDeparted(*report);
     }
@@ -255,12 +263,26 @@
 auto Node::applyUnlessDeparted(const mesh::InstanceReport &report) -> void
 {
     // An acknowledged departure also applies to this process, whatever the instance's health check reports.
-    const auto hasDeparted = previousRecord_ && previousRecord_->instanceId == report.id && !previousRecord_->accepting;
-    if (!hasDeparted) {
+    if (!hasDeparted(report)) {
         applyInstanceReport(report);
     }
 }
 
+auto Node::withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport
+{
+    // A report that was sent before the departure may arrive after this process has started.
+    if (hasDeparted(report)) {
+        report.state = std::max(report.state, mesh::InstanceState::Draining);
+    }
+    return report;
+}
+
+auto Node::hasDeparted(const mesh::InstanceReport &report) const -> bool
+{
+    return previousRecord_ && !previousRecord_->accepting && previousRecord_->instanceId == report.id
+        && (report.startTimeMs == 0 || report.startTimeMs == previousRecord_->instanceStartMs);
+}
+
 auto Node::applyConfiguration(mesh::Configuration configuration) -> void
 {
     const auto isFirst = !configuration_;
@@ -378,7 +400,8 @@
             instance.slots,
             instance_.isAccepting(),
             instance.coldStartRemaining > Duration::zero() ? internal::coldStartStep : Duration::zero(),
-            recordVersion_};
+            recordVersion_,
+            instance.startTimeMs};
 }
 
 auto Node::storedRecord() const -> mesh::Member
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -75,6 +75,8 @@
     auto applyConfiguration(mesh::Configuration configuration) -> void;
     auto probeInstance() -> void;
     auto applyUnlessDeparted(const mesh::InstanceReport &report) -> void;
+    [[nodiscard]] auto hasDeparted(const mesh::InstanceReport &report) const -> bool;
+    [[nodiscard]] auto withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport;
     auto applyInstanceReport(const mesh::InstanceReport &report) -> void;
     auto handlePreviousRecord(const std::optional<mesh::Member> &record) -> void;
     auto publishOwnMember() -> void;
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -248,6 +248,9 @@
     auto &attempt = found->second;
     const auto failed = reply.reason == mesh::HopReason::Lost || reply.reason == mesh::HopReason::Unreachable
                      || reply.reason == mesh::HopReason::BadAnswer || reply.reason == mesh::HopReason::Rejected;
+    if (reply.outcome == mesh::HopOutcome::Answered) {
+        noteDeparture(attempt, reply.answer);
+    }
     context_.placement.finished(std::exchange(attempt.node, {}), failed, reply.load, context_.loop.now());
     attempt.instancesReached += reply.reached ? 1 : 0;
     if (reply.outcome == mesh::HopOutcome::Answered) {
@@ -267,6 +270,16 @@
     }
 }
 
+auto RequestRouter::noteDeparture(const Attempt &attempt, const mesh::Answer &answer) -> void
+{
+    // The node beside the instance logs a malformed condition.
+    std::string error;
+    const auto condition = context_.dialect.readCondition(answer, error);
+    if (condition && condition->isLeaving) {
+        context_.placement.markLeaving(attempt.node, attempt.hop.instanceId, context_.loop.now());
+    }
+}
+
 auto RequestRouter::mayRetry(const Attempt &attempt, const mesh::HopReply &reply) -> bool
 {
     const auto now = context_.loop.now();
--- a/src/jasminelatch/sidecar/request_router.hpp
+++ b/src/jasminelatch/sidecar/request_router.hpp
@@ -133,6 +133,7 @@
     auto dispatch(std::uint64_t requestId) -> void;
     auto cancelExchange(const Attempt &attempt) -> void;
     auto handleReply(std::uint64_t requestId, mesh::HopReply reply) -> void;
+    auto noteDeparture(const Attempt &attempt, const mesh::Answer &answer) -> void;
     [[nodiscard]] auto mayRetry(const Attempt &attempt, const mesh::HopReply &reply) -> bool;
     auto fail(std::uint64_t requestId, std::string_view reason) -> void;
     auto handleTimeout(std::uint64_t requestId) -> void;
--- a/test/jasminelatch/mesh/placement.cpp
+++ b/test/jasminelatch/mesh/placement.cpp
@@ -150,4 +150,37 @@
     EXPECT_GT(chosen(placement, 1000)["local"], 700);
 }
 
+TEST(Placement, AnInstanceThatSaidThatItIsLeavingIsNotSelectedThoughItsRestartedNodeOffersIt)
+{
+    auto placement = localAndRemote();
+    placement.markLeaving("local", "i-local", start);
+    EXPECT_EQ(chosen(placement, 50)["remote"], 50);
+    EXPECT_EQ(placement.capacity("vistas").limit, 34.0);
+    // Its node restarts and has forgotten the departure.
+    placement.removeMember("local");
+    auto again = member("local");
+    again.incarnation = 2;
+    placement.setMember(again, start + 1s);
+    auto offered = report("local", {0, 0, 34, 50ms});
+    offered.incarnation = 2;
+    placement.applyReport(offered);
+    EXPECT_EQ(chosen(placement, 50)["remote"], 50);
+    again.instanceId = "i-next";
+    placement.setMember(again, start + 2s);
+    EXPECT_GT(chosen(placement, 50)["local"], 0) << "another instance on the VM is used";
+}
+
+TEST(Placement, AnotherStartOfALeavingInstanceIsSelected)
+{
+    Placement placement{{}, "a", 1};
+    auto first = member("local");
+    first.instanceStartMs = 1700;
+    placement.setMember(first, start);
+    placement.markLeaving("local", "i-local", start);
+    EXPECT_EQ(placement.choose("vistas", {}, start), nullptr);
+    first.instanceStartMs = 1800;
+    placement.setMember(first, start + 1s);
+    EXPECT_NE(placement.choose("vistas", {}, start + 1s), nullptr);
+}
+
 } // namespace jasminelatch::mesh
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -187,6 +187,35 @@
         << "an instance that has not departed is used even before its first report";
 }
 
+TEST_F(NodeTest, NoRequestReachesAnInstanceAfterItsAnswersSayThatItIsLeaving)
+{
+    back.instance.extraFields = {{"Server-Leaving", "1"}};
+    EXPECT_EQ(fetch("/m/1", "k1").status, 200U);
+    const auto before = back.instance.requests.size();
+    EXPECT_EQ(fetch("/m/1", "k1").status, 503U);
+    EXPECT_EQ(report(back, "ready", 2).status, 200U) << "a report that was sent before arrives late";
+    EXPECT_EQ(fetch("/m/1", "k1").status, 503U);
+    EXPECT_EQ(back.instance.requests.size(), before);
+    back.instance.extraFields.clear();
+    EXPECT_EQ(sendInstanceReport(loopback, back, "ready", 1, 1800).status, 200U);
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").status == 200; }, 1s)) << "another start is used";
+}
+
+TEST_F(NodeTest, ALateReportDoesNotBringADepartedInstanceBackAfterItsNodeRestarts)
+{
+    EXPECT_EQ(report(back, "draining", 2).status, 200U);
+    const mesh::Member departed{"late", 1, Loopback::freeEndpoint(), "a", "orders", "i-late", 20, false, {}, 0, 1700};
+    store.put("jasminelatch/nodes/late", base64(mesh::encodeMember(departed)));
+    const TestNode late{loopback, storeAt, "late", "orders"};
+    ASSERT_TRUE(loopback.runUntil([&] { return get(late.settings.ready, "/v1/ready").status == 200; }));
+    EXPECT_EQ(report(late, "ready", 9).status, 200U);
+    loopback.runFor(500ms);
+    EXPECT_EQ(fetch("/m/1", "k1").status, 503U);
+    EXPECT_TRUE(late.instance.requests.size() <= 1) << "only the health check reaches it";
+    EXPECT_EQ(sendInstanceReport(loopback, late, "ready", 1, 1800).status, 200U);
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").body == "from i-late"; }, 1s));
+}
+
 TEST_F(NodeTest, AnInstanceThatStatesARateLimitGetsNoMoreRequests)
 {
     back.instance.extraFields = {{"Server-Limit", "4.0"}};
--- a/test/jasminelatch/sidecar/test_node.hpp
+++ b/test/jasminelatch/sidecar/test_node.hpp
@@ -159,11 +159,17 @@
 }
 
 /*! @brief Sends a state report from the instance of a node. */
-inline auto sendInstanceReport(Loopback &loopback, const TestNode &node, const std::string &state, const int sequence)
-    -> mesh::Answer
+inline auto sendInstanceReport(Loopback &loopback,
+                               const TestNode &node,
+                               const std::string &state,
+                               const int sequence,
+                               const int startTimeMs = 1700) -> mesh::Answer
 {
-    const nlohmann::json body{
-        {"service", node.settings.service}, {"slots", 20}, {"state", state}, {"sequence", sequence}, {"born", 1700}};
+    const nlohmann::json body{{"service", node.settings.service},
+                              {"slots", 20},
+                              {"state", state},
+                              {"sequence", sequence},
+                              {"born", startTimeMs}};
     return sendTo(loopback,
                   node.settings.reports,
                   {"POST", "/v1/Instances.Heartbeat/" + node.instance.id, {{"Host", "x"}}, body.dump()});
