--- a/src/jasminelatch/sidecar/dialect.hpp
+++ b/src/jasminelatch/sidecar/dialect.hpp
@@ -71,6 +71,9 @@
     std::function<mesh::Request(std::string_view key, std::string_view value, std::uint64_t lease)> putIfAbsent;
     std::function<std::optional<std::vector<StoreItem>>(const mesh::Answer &answer)> readConflict;
     std::function<mesh::Request(std::string_view key)> remove;
+    /*! @brief Reads how often the store has been replaced by an older copy; revisions of different eras do not compare.
+     * Nothing if the answer does not tell. */
+    std::function<std::optional<std::uint64_t>(const mesh::Answer &answer)> readEra;
     std::string configurationKey; /*!< Key under which the store holds the current configuration. */
 };
 
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -377,6 +377,7 @@
     const auto load = instance_.load();
     const auto version = configuration_ ? configuration_->configuration().version : 0;
     return {{"configuration_version", static_cast<double>(version)},
+            {"store_era", static_cast<double>(registry_.storeEra())},
             {"configuration_fresh", registry_.isFresh() ? 1.0 : 0.0},
             {"peers", static_cast<double>(fleet_.peerCount())},
             {"relay", fleet_.isRelay() ? 1.0 : 0.0},
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -137,6 +137,11 @@
     return configurationText_;
 }
 
+auto RegistryClient::storeEra() const -> std::uint64_t
+{
+    return era_.value_or(0);
+}
+
 auto RegistryClient::confirmation() const -> const std::optional<mesh::StoreConfirmation> &
 {
     return freshness_.confirmation();
@@ -168,6 +173,7 @@
 
 auto RegistryClient::handleListing(const HttpConnection::Result &result, const TimePoint sentAt) -> void
 {
+    noteEra(result);
     const auto page = readPage(result);
     if (!page) {
         isListing_ = false;
@@ -284,6 +290,7 @@
 
 auto RegistryClient::handleWatchResult(const HttpConnection::Result &result, const TimePoint sentAt) -> void
 {
+    noteEra(result);
     if (internal::statusOf(result) == internal::statusHistoryGone) {
         context_.log.write("store_history_gone", {{"revision", revision_}});
         listAll({});
@@ -354,6 +361,7 @@
 auto RegistryClient::handlePollResult(const HttpConnection::Result &result, const TimePoint sentAt) -> void
 {
     isPolling_ = false;
+    noteEra(result);
     context_.counters.observe("store.ask_time", context_.loop.now() - sentAt);
     if (isListing_) {
         return;
@@ -428,6 +436,9 @@
         return;
     }
     if (hasConfiguration_ && configuration->version <= configurationVersion_) {
+        context_.log.write(
+            "configuration_not_newer",
+            {{"version", configuration->version}, {"revision", item.revision}, {"in_force", configurationVersion_}});
         return;
     }
     configurationVersion_ = configuration->version;
@@ -441,6 +452,23 @@
     hooks_.configurationChanged(std::move(*configuration));
 }
 
+auto RegistryClient::noteEra(const HttpConnection::Result &result) -> void
+{
+    const auto era = result.answer ? context_.dialect.store.readEra(*result.answer) : std::nullopt;
+    if (!era || era_ == era) {
+        return;
+    }
+    if (era_) {
+        context_.log.write("store_restored",
+                           {{"era", *era},
+                            {"before", *era_},
+                            {"revision", revision_},
+                            {"configuration_version", configurationVersion_},
+                            {"configuration_revision", configurationRevision_}});
+    }
+    era_ = era;
+}
+
 auto RegistryClient::backOff(const std::string_view what, const HttpConnection::Result &result) -> Duration
 {
     context_.counters.add("store.failed");
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -143,6 +143,9 @@
     /*! @brief Returns the configuration in force as the store's undecoded value. */
     [[nodiscard]] auto configurationText() const -> const std::string &;
 
+    /*! @brief Returns the era of the store as far as known; zero before an answer has told it. */
+    [[nodiscard]] auto storeEra() const -> std::uint64_t;
+
     /*! @brief Returns the latest confirmation of the store, to be forwarded to peers. */
     [[nodiscard]] auto confirmation() const -> const std::optional<mesh::StoreConfirmation> &;
 
@@ -171,6 +174,7 @@
     [[nodiscard]] auto readPage(const HttpConnection::Result &result) const -> std::optional<StorePage>;
     auto apply(const StoreItem &item) -> void;
     auto applyConfiguration(const StoreItem &item) -> void;
+    auto noteEra(const HttpConnection::Result &result) -> void;
     [[nodiscard]] auto backOff(std::string_view what, const HttpConnection::Result &result) -> Duration;
     auto noteStoreReachable() -> void;
 
@@ -200,6 +204,7 @@
     std::uint64_t configurationRevision_{}; /*!< Store revision of the configuration's last change. */
     std::optional<mesh::StoreConfirmation>
         listingConfirmation_; /*!< Confirmation by the first page of the current listing. */
+    std::optional<std::uint64_t> era_; /*!< Era of the store; nothing before an answer has told it. */
     bool isListing_{};
     bool usesLeafBackoff_{}; /*!< Whether the backoff may grow to `maxLeafBackoff`. */
     bool isWatching_{}; /*!< Whether this node watches the configuration. */
--- a/test/jasminelatch/platform/decode.cpp
+++ b/test/jasminelatch/platform/decode.cpp
@@ -154,7 +154,8 @@
 {
     const auto dialect = makeDialect();
     std::string error;
-    const auto limited = dialect.readCondition({503, {}, {{"server-limit", "12.5"}, {"Server-Leaving", "1"}}, {}}, error);
+    const auto limited =
+        dialect.readCondition({503, {}, {{"server-limit", "12.5"}, {"Server-Leaving", "1"}}, {}}, error);
     ASSERT_TRUE(limited);
     EXPECT_EQ(limited->rateLimit, 12.5);
     EXPECT_TRUE(limited->isLeaving);
@@ -191,6 +192,16 @@
     EXPECT_FALSE(protocol.readPage({200, "", {}, "<html>"}));
 }
 
+TEST(StoreProtocol, ReadsTheEraOfTheStore)
+{
+    const auto protocol = makeStoreProtocol();
+    EXPECT_EQ(protocol.readEra({410, "", {{"store-era", "3"}}, {}}), 3U);
+    EXPECT_FALSE(protocol.readEra({200, "", {}, {}}));
+    for (const std::string text : {"", "-1", "3x", "99999999999999999999"}) {
+        EXPECT_FALSE(protocol.readEra({200, "", {{"Store-Era", text}}, {}})) << text;
+    }
+}
+
 TEST(StoreProtocol, EncodesValuesAsBase64)
 {
     const auto request = makeStoreProtocol().put("a/b", "node-1", 77);
