Compare configurations by version and read anew when a copy replaces the store

Cause: nodes told each other's configurations apart by the store's revision, and a store that comes back from a copy gives revisions out again. The new version got the revision of the one before, so relays did not send it and nodes would not have taken it. Class: a position that counts within one life of a server is compared across two. The same cause elsewhere, found by tests: - a watch from a revision that the store has reached again is answered and hides every change before it, also on small sites; - a store that has lost the withdrawal of a key confirmed the version before.

Now the version, which operators only ever raise, tells which configuration is newer, between nodes and in confirmations. An answer of a new era drops revisions and watches, and everything is listed anew; a late answer of an earlier era is ignored. A confirmation of a store that lacks a version known before is not trusted until that version is written again. Nodes of earlier builds still get and send revisions.

--- a/src/jasminelatch/mesh/freshness.cpp
+++ b/src/jasminelatch/mesh/freshness.cpp
@@ -14,7 +14,20 @@
     if (confirmation.at > now) {
         return;
     }
-    if (confirmation.revision > applied_) {
+    if (confirmation.era > era_) {
+        era_ = confirmation.era;
+        eraFloor_ = highest_;
+    } else if (confirmation.era < era_) {
+        eraFloor_ = std::max(eraFloor_, confirmation.version);
+        if (confirmed_ && isBehind(*confirmed_)) {
+            confirmed_.reset();
+        }
+    }
+    highest_ = std::max(highest_, confirmation.version);
+    if (isBehind(confirmation)) {
+        return;
+    }
+    if (confirmation.version > applied_) {
         if (!pending_) {
             pendingSince_ = now;
         }
@@ -28,10 +41,11 @@
     }
 }
 
-auto Freshness::markApplied(const std::uint64_t revision) -> void
+auto Freshness::markApplied(const std::uint64_t version) -> void
 {
-    applied_ = std::max(applied_, revision);
-    if (pending_ && pending_->revision <= applied_) {
+    applied_ = std::max(applied_, version);
+    highest_ = std::max(highest_, applied_);
+    if (pending_ && pending_->version <= applied_) {
         if (!confirmed_ || confirmed_->at < pending_->at) {
             confirmed_ = pending_;
         }
@@ -58,6 +72,11 @@
     return confirmed_;
 }
 
+auto Freshness::isBehind(const StoreConfirmation &confirmation) const -> bool
+{
+    return confirmation.era == era_ && confirmation.version < eraFloor_;
+}
+
 auto Freshness::validityFraction(const double fraction) const -> Duration
 {
     return Duration{static_cast<Duration::rep>(static_cast<double>(settings_.validity.count()) * fraction)};
--- a/src/jasminelatch/mesh/freshness.hpp
+++ b/src/jasminelatch/mesh/freshness.hpp
@@ -10,15 +10,15 @@
 namespace jasminelatch::mesh {
 
 /*!
- * @brief Statement that at time `at` the last change of the configuration in the store was the one at `revision`.
+ * @brief Statement that at time `at` the newest configuration in the store was `version`.
  *
- * It confirms that a node that has applied the change at `revision` has missed no change up to time `at`, such as the
- * revocation of an API key. A node derives it from the response to a store query, or receives it from a peer that
- * forwards its own.
+ * It confirms that a node that has applied `version` has missed no change up to time `at`, such as the revocation of an
+ * API key. A node derives it from the response to a store query, or receives it from a peer that forwards its own.
  */
 struct StoreConfirmation {
-    std::uint64_t revision{}; /*!< Store revision of the last change; zero if the configuration was never written. */
+    std::uint64_t version{}; /*!< Version of the configuration; zero if it was never written. */
     TimePoint at; /*!< Time just before the confirming store query was sent, or earlier. */
+    std::uint64_t era{}; /*!< Era of the store; rises when an older copy replaces it. */
 };
 
 /**
@@ -60,19 +60,20 @@
     /**
      * @brief Records a confirmation of the configuration.
      *
-     * It takes effect at once if this node has applied its revision. The newest one that this node has not applied yet
-     * takes effect when `markApplied` reports its revision. A confirmation never replaces a newer effective one, and
-     * one that is dated later than `now` is ignored.
+     * It takes effect at once if this node has applied its version. The newest one that this node has not applied yet
+     * takes effect when `markApplied` reports its version. A confirmation never replaces a newer effective one. One
+     * that is dated later than `now`, or of an era in which the store lacks a version that was known before, is
+     * ignored.
      * @param confirmation The confirmation, derived from a store response or forwarded by a peer.
      * @param now Current time.
      */
     auto confirm(const StoreConfirmation &confirmation, TimePoint now) -> void;
 
     /**
-     * @brief Records that every configuration change up to a revision has been applied.
-     * @param revision Store revision.
+     * @brief Records that every configuration change up to a version has been applied.
+     * @param version Version of the configuration.
      */
-    auto markApplied(std::uint64_t revision) -> void;
+    auto markApplied(std::uint64_t version) -> void;
 
     /**
      * @brief Returns whether API keys of the applied configuration may be accepted.
@@ -90,16 +91,20 @@
      */
     [[nodiscard]] auto shouldQueryStore(std::size_t order, TimePoint now) const -> bool;
 
-    /*! @brief Returns the newest effective confirmation: its revision has been applied; empty before the first one. */
+    /*! @brief Returns the newest effective confirmation: its version has been applied; empty before the first one. */
     [[nodiscard]] auto confirmation() const -> const std::optional<StoreConfirmation> &;
 
 private:
+    [[nodiscard]] auto isBehind(const StoreConfirmation &confirmation) const -> bool;
     [[nodiscard]] auto validityFraction(double fraction) const -> Duration;
 
     Settings settings_;
     std::uint64_t applied_{};
+    std::uint64_t highest_{}; /*!< Highest version known to exist, applied or not. */
+    std::uint64_t era_{}; /*!< Latest era of the store that a confirmation has told. */
+    std::uint64_t eraFloor_{}; /*!< Highest version known from before `era_`. */
     std::optional<StoreConfirmation> confirmed_; /*!< Newest effective confirmation. */
-    std::optional<StoreConfirmation> pending_; /*!< Newest confirmation of a revision that is not applied yet. */
+    std::optional<StoreConfirmation> pending_; /*!< Newest confirmation of a version that is not applied yet. */
     TimePoint pendingSince_; /*!< When `pending_` last became non-empty. */
 };
 
--- a/src/jasminelatch/mesh/node_report.hpp
+++ b/src/jasminelatch/mesh/node_report.hpp
@@ -49,10 +49,12 @@
     std::uint64_t session{}; /*!< Unix time in ms at which the counts were zero; increases in one incarnation. */
     bool isFull{true}; /*!< Whether omitted counts are zero rather than unchanged. */
     std::uint32_t nodes{1}; /*!< Number of nodes included in the counts that reported recently. */
-    std::uint64_t configurationRevision{}; /*!< Configuration revision that the sender applies. */
+    std::uint64_t configurationRevision{}; /*!< Store revision of the sender's configuration; for earlier builds. */
     std::vector<InstanceStatus>
         instances; /*!< Instances of nodes that report to the sender; of the whole fleet in digests. */
     std::vector<Member> members; /*!< Membership records that the receiver may lack. */
+    std::optional<std::uint64_t>
+        configurationVersion; /*!< Version that the sender applies; empty from earlier builds. */
 };
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -191,7 +191,8 @@
                          report.nodes,
                          report.configurationRevision,
                          encodeInstances(report.instances),
-                         encodeMembers(report.members)}),
+                         encodeMembers(report.members),
+                         report.configurationVersion.value_or(0)}),
             {}};
 }
 
@@ -211,6 +212,10 @@
     if (message.age) {
         head.push_back(message.revision);
         head.push_back(message.age->count());
+        if (message.version) {
+            head.push_back(*message.version);
+            head.push_back(message.era);
+        }
     }
     return {std::move(head), {}};
 }
@@ -261,6 +266,8 @@
 
 auto decodeReport(const Json &json) -> ReportMessage
 {
+    // Earlier builds send no version of the configuration.
+    constexpr std::size_t reportSizeBeforeVersion = 17;
     const auto member = json.at(9).get<std::string>();
     return {{json.at(1).get<std::string>(),
              json.at(2).get<std::uint64_t>(),
@@ -277,7 +284,8 @@
              json.at(13).get<std::uint32_t>(),
              json.at(14).get<std::uint64_t>(),
              decodeInstances(json.at(15)),
-             decodeMembers(json.at(16))}};
+             decodeMembers(json.at(16)),
+             json.size() > reportSizeBeforeVersion ? std::optional{json.at(17).get<std::uint64_t>()} : std::nullopt}};
 }
 
 auto decodeReportAck(const Json &json) -> ReportAck
@@ -286,7 +294,12 @@
     if (json.size() < sizeWithConfirmation) {
         return {};
     }
-    return {json.at(1).get<std::uint64_t>(), Duration{json.at(2).get<std::uint64_t>()}};
+    ReportAck ack{json.at(1).get<std::uint64_t>(), Duration{json.at(2).get<std::uint64_t>()}, {}, {}};
+    if (json.size() > sizeWithConfirmation) {
+        ack.version = json.at(3).get<std::uint64_t>();
+        ack.era = json.at(4).get<std::uint64_t>();
+    }
+    return ack;
 }
 
 auto decode(const std::string_view head, const std::string_view body, const TimePoint now) -> std::optional<PeerMessage>
--- a/src/jasminelatch/mesh/peer_message.hpp
+++ b/src/jasminelatch/mesh/peer_message.hpp
@@ -48,8 +48,10 @@
 
 /*! @brief Acknowledges a report or probe and forwards the store's last confirmation of the configuration. */
 struct ReportAck {
-    std::uint64_t revision{}; /*!< Store revision of the configuration's last change. */
+    std::uint64_t revision{}; /*!< Store revision of the configuration's last change; for nodes of earlier builds. */
     std::optional<Duration> age; /*!< Age of the confirmation at sending; empty before the first one. */
+    std::optional<std::uint64_t> version; /*!< Version that it confirms; empty from nodes of earlier builds. */
+    std::uint64_t era{}; /*!< Era of the store that it comes from. */
 };
 
 /*! @brief Liveness check of the connection; answered by `ReportAck`. */
@@ -58,7 +60,7 @@
 
 /*! @brief Configuration as stored, sent to a node that does not watch the store itself. */
 struct ConfigurationMessage {
-    std::uint64_t revision{}; /*!< Store revision of its last change. */
+    std::uint64_t revision{}; /*!< Store revision of its last change; for nodes of earlier builds. */
     std::string text; /*!< Stored value. */
 };
 
--- a/src/jasminelatch/sidecar/fleet.cpp
+++ b/src/jasminelatch/sidecar/fleet.cpp
@@ -97,9 +97,7 @@
                 }
             },
             [this, name](const mesh::NodeReport &report) { handleReportAnswer(name, report); },
-            [this](const mesh::ConfigurationMessage &message) {
-                context_.registry.applyRelayedConfiguration(message.revision, message.text);
-            },
+            [this](const mesh::ConfigurationMessage &message) { context_.registry.applyRelayedConfiguration(message); },
             [this, name] {
                 handleRelayFailure(name);
             }});
@@ -366,6 +364,7 @@
         report.profiles.clear();
     }
     report.configurationRevision = context_.registry.configurationRevision();
+    report.configurationVersion = context_.registry.configurationVersion();
     const auto frame = mesh::encodeFrame(mesh::ReportMessage{std::move(report)}, context_.loop.now());
     if (!peer->second.link->sendReport(frame, [&]() -> std::string_view { return frame; })) {
         session_.sendFailed();
@@ -434,7 +433,10 @@
     }
     auto frames = mesh::encodeFrame(mesh::ReportMessage{std::move(digest)}, now);
     const auto &registry = context_.registry;
-    if (report.configurationRevision < registry.configurationRevision() && registry.hasConfiguration()) {
+    const auto lacksConfiguration = report.configurationVersion
+                                      ? *report.configurationVersion < registry.configurationVersion()
+                                      : report.configurationRevision < registry.configurationRevision();
+    if (lacksConfiguration && registry.hasConfiguration()) {
         frames += mesh::encodeFrame(
             mesh::ConfigurationMessage{registry.configurationRevision(), registry.configurationText()}, now);
     }
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -112,7 +112,7 @@
                   instance_,
                   [this](const mesh::NodeReport &report) { return fleet_.handleReport(report); },
                   [this] {
-                      return registry_.confirmation();
+                      return registry_.acknowledgement();
                   }}
     , callers_{loop,
                {[this](mesh::Request request, HttpServer::Respond respond) {
--- a/src/jasminelatch/sidecar/peer_link.cpp
+++ b/src/jasminelatch/sidecar/peer_link.cpp
@@ -274,8 +274,8 @@
     // acknowledgement after that, whatever the network delay, so that the confirmation never seems newer than it is.
     const auto sent = unanswered_.front();
     unanswered_.pop_front();
-    if (message.age) {
-        hooks_.confirmed({message.revision, sent.sentAt - *message.age});
+    if (message.age && message.version) {
+        hooks_.confirmed({*message.version, sent.sentAt - *message.age, message.era});
     }
     if (sent.isReport) {
         hooks_.acknowledged();
--- a/src/jasminelatch/sidecar/peer_server.cpp
+++ b/src/jasminelatch/sidecar/peer_server.cpp
@@ -11,11 +11,11 @@
 
 } // namespace internal
 
-PeerServer::PeerServer(event::Loop &loop, LocalInstance &instance, Reported reported, Confirmation confirmation)
+PeerServer::PeerServer(event::Loop &loop, LocalInstance &instance, Reported reported, Acknowledge acknowledge)
     : loop_{&loop}
     , instance_{&instance}
     , reported_{std::move(reported)}
-    , confirmation_{std::move(confirmation)}
+    , acknowledge_{std::move(acknowledge)}
     , listener_{loop, [this](boost::asio::ip::tcp::socket socket) {
                     handleAccepted(std::move(socket));
                 }}
@@ -81,23 +81,17 @@
         const auto now = loop_->now();
         const auto isOwn = report->report.kind == mesh::ReportKind::Own;
         peer.reportedAt = isOwn ? std::optional{now} : std::nullopt;
-        peer.stream->write(mesh::encodeFrame(makeAck(), now));
+        peer.stream->write(mesh::encodeFrame(acknowledge_(), now));
         peer.stream->write(reported_(report->report));
         return true;
     }
     if (std::holds_alternative<mesh::ProbeMessage>(message)) {
-        peer.stream->write(mesh::encodeFrame(makeAck(), loop_->now()));
+        peer.stream->write(mesh::encodeFrame(acknowledge_(), loop_->now()));
         return true;
     }
     return false;
 }
 
-auto PeerServer::makeAck() const -> mesh::ReportAck
-{
-    const auto confirmation = confirmation_();
-    return confirmation ? mesh::ReportAck{confirmation->revision, loop_->now() - confirmation->at} : mesh::ReportAck{};
-}
-
 auto PeerServer::start(const std::uint64_t session, mesh::RequestMessage message) -> void
 {
     const auto exchange = message.exchange;
--- a/src/jasminelatch/sidecar/peer_server.hpp
+++ b/src/jasminelatch/sidecar/peer_server.hpp
@@ -28,17 +28,17 @@
 public:
     /*! @brief Called with each report; returns the frames to send after its acknowledgement. */
     using Reported = std::function<std::string(const mesh::NodeReport &report)>;
-    /*! @brief Returns the newest store confirmation to forward; nothing before the first one. */
-    using Confirmation = std::function<std::optional<mesh::StoreConfirmation>()>;
+    /*! @brief Returns the acknowledgement of a report, with the newest confirmation of the store. */
+    using Acknowledge = std::function<mesh::ReportAck()>;
 
     /**
      * @brief Makes a server that does not listen yet.
      * @param loop Loop to run on; it outlives the server.
      * @param instance Instance that runs the requests; it outlives the server.
      * @param reported Handler of reports.
-     * @param confirmation Source of the store confirmation that each acknowledgement carries.
+     * @param acknowledge Source of acknowledgements.
      */
-    PeerServer(event::Loop &loop, LocalInstance &instance, Reported reported, Confirmation confirmation);
+    PeerServer(event::Loop &loop, LocalInstance &instance, Reported reported, Acknowledge acknowledge);
 
     PeerServer(const PeerServer &) = delete;
     auto operator=(const PeerServer &) -> PeerServer & = delete;
@@ -75,14 +75,13 @@
     auto receive(std::uint64_t session, std::span<const char> bytes) -> void;
     auto handleMessage(std::uint64_t session, mesh::PeerMessage message) -> bool;
     auto start(std::uint64_t session, mesh::RequestMessage message) -> void;
-    [[nodiscard]] auto makeAck() const -> mesh::ReportAck;
     auto handleFinished(std::uint64_t session, std::uint64_t exchange, mesh::HopReply reply) -> void;
     auto end(std::uint64_t session) -> void;
 
     event::Loop *loop_;
     LocalInstance *instance_;
     Reported reported_;
-    Confirmation confirmation_;
+    Acknowledge acknowledge_;
     event::Listener listener_;
     std::map<std::uint64_t, Session> sessions_;
     std::uint64_t lastSession_{};
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -89,20 +89,10 @@
     freshness_.confirm(confirmation, context_.loop.now());
 }
 
-auto RegistryClient::applyRelayedConfiguration(const std::uint64_t revision, const std::string &text) -> void
+auto RegistryClient::applyRelayedConfiguration(const mesh::ConfigurationMessage &message) -> void
 {
-    if (revision <= configurationRevision_) {
-        return;
-    }
-    StoreItem item;
-    item.key = context_.dialect.store.configurationKey;
-    item.value = text;
-    item.revision = revision;
-    apply(item);
-    freshness_.markApplied(configurationRevision_);
-    if (hasFullListing_) {
-        revision_ = std::max(revision_, revision);
-    }
+    applyConfiguration({context_.dialect.store.configurationKey, message.text, message.revision, false});
+    freshness_.markApplied(configurationVersion_);
 }
 
 auto RegistryClient::setRelayRank(const bool isRelay,
@@ -127,6 +117,11 @@
     }
 }
 
+auto RegistryClient::configurationVersion() const -> std::uint64_t
+{
+    return configurationVersion_;
+}
+
 auto RegistryClient::configurationRevision() const -> std::uint64_t
 {
     return configurationRevision_;
@@ -142,9 +137,13 @@
     return era_.value_or(0);
 }
 
-auto RegistryClient::confirmation() const -> const std::optional<mesh::StoreConfirmation> &
+auto RegistryClient::acknowledgement() const -> mesh::ReportAck
 {
-    return freshness_.confirmation();
+    const auto &confirmation = freshness_.confirmation();
+    if (!confirmation) {
+        return {};
+    }
+    return {configurationRevision_, context_.loop.now() - confirmation->at, confirmation->version, confirmation->era};
 }
 
 auto RegistryClient::isFresh() const -> bool
@@ -162,7 +161,7 @@
     if (after.empty()) {
         isListing_ = true;
         listedNames_.clear();
-        listingConfirmation_.reset();
+        listingRevision_.reset();
     }
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.list");
@@ -173,7 +172,9 @@
 
 auto RegistryClient::handleListing(const HttpConnection::Result &result, const TimePoint sentAt) -> void
 {
-    noteEra(result);
+    if (noteEra(result)) {
+        return;
+    }
     const auto page = readPage(result);
     if (!page) {
         isListing_ = false;
@@ -183,9 +184,10 @@
         return;
     }
     noteStoreReachable();
-    if (!listingConfirmation_) {
+    if (!listingRevision_) {
         // Changes made while later pages are read are delivered again by the watch.
-        listingConfirmation_ = {page->revision, sentAt};
+        listingRevision_ = page->revision;
+        listingSentAt_ = sentAt;
     }
     for (const auto &item : page->items) {
         apply(item);
@@ -202,9 +204,8 @@
     isListing_ = false;
     reportListedMembers();
     hasFullListing_ = true;
-    revision_ = listingConfirmation_->revision;
-    freshness_.markApplied(configurationRevision_);
-    freshness_.confirm({configurationRevision_, listingConfirmation_->at}, context_.loop.now());
+    revision_ = *listingRevision_;
+    confirm(listingSentAt_);
     if (isWatching_) {
         watch();
     }
@@ -248,7 +249,7 @@
     for (const auto &item : page->items) {
         apply(item);
     }
-    freshness_.markApplied(configurationRevision_);
+    freshness_.markApplied(configurationVersion_);
     if (page->hasMore && !page->items.empty()) {
         listRecords(page->items.back().key);
         return;
@@ -290,7 +291,9 @@
 
 auto RegistryClient::handleWatchResult(const HttpConnection::Result &result, const TimePoint sentAt) -> void
 {
-    noteEra(result);
+    if (noteEra(result)) {
+        return;
+    }
     if (internal::statusOf(result) == internal::statusHistoryGone) {
         context_.log.write("store_history_gone", {{"revision", revision_}});
         listAll({});
@@ -361,9 +364,8 @@
 auto RegistryClient::handlePollResult(const HttpConnection::Result &result, const TimePoint sentAt) -> void
 {
     isPolling_ = false;
-    noteEra(result);
     context_.counters.observe("store.ask_time", context_.loop.now() - sentAt);
-    if (isListing_) {
+    if (noteEra(result) || isListing_) {
         return;
     }
     if (internal::statusOf(result) == internal::statusHistoryGone) {
@@ -396,22 +398,26 @@
         }
     }
     revision_ = std::max(revision_, page.revision);
-    freshness_.markApplied(configurationRevision_);
-    freshness_.confirm({configurationRevision_, sentAt}, context_.loop.now());
+    confirm(sentAt);
     return hasChanges;
 }
 
 auto RegistryClient::readPage(const HttpConnection::Result &result) const -> std::optional<StorePage>
 {
-    return internal::isOk(result) ? context_.dialect.store.readPage(*result.answer) : std::nullopt;
+    if (!internal::isOk(result)) {
+        return std::nullopt;
+    }
+    // A late answer of the store that a copy has replaced has revisions that no longer count.
+    const auto isOfCurrentEra = context_.dialect.store.readEra(*result.answer).value_or(storeEra()) == storeEra();
+    return isOfCurrentEra ? context_.dialect.store.readPage(*result.answer) : std::nullopt;
 }
 
 auto RegistryClient::apply(const StoreItem &item) -> void
 {
     if (item.key == context_.dialect.store.configurationKey) {
-        configurationRevision_ = std::max(configurationRevision_, item.revision);
         if (!item.removed) {
-            applyConfiguration(item);
+            // The last readable configuration stays in force while the store holds one that cannot be read.
+            storeVersion_ = std::max(storeVersion_, applyConfiguration(item).value_or(configurationVersion_));
         }
         return;
     }
@@ -427,46 +433,67 @@
     hooks_.memberListed(*member);
 }
 
-auto RegistryClient::applyConfiguration(const StoreItem &item) -> void
+auto RegistryClient::applyConfiguration(const StoreItem &item) -> std::optional<std::uint64_t>
 {
     std::string error;
     auto configuration = context_.dialect.decodeConfiguration(item.value, error);
     if (!configuration) {
         context_.log.write("configuration_unreadable", {{"revision", item.revision}, {"error", error}});
-        return;
+        return std::nullopt;
     }
-    if (hasConfiguration_ && configuration->version <= configurationVersion_) {
-        context_.log.write(
-            "configuration_not_newer",
-            {{"version", configuration->version}, {"revision", item.revision}, {"in_force", configurationVersion_}});
-        return;
+    const auto version = configuration->version;
+    if (hasConfiguration_ && version <= configurationVersion_) {
+        context_.log.write("configuration_not_newer",
+                           {{"version", version}, {"revision", item.revision}, {"in_force", configurationVersion_}});
+        return version;
     }
-    configurationVersion_ = configuration->version;
+    configurationVersion_ = version;
+    configurationRevision_ = item.revision;
     configurationText_ = item.value;
     hasConfiguration_ = true;
     context_.log.write("configuration",
-                       {{"version", configuration->version},
+                       {{"version", version},
                         {"revision", item.revision},
                         {"routes", configuration->routes.size()},
                         {"accounts", configuration->accounts.size()}});
     hooks_.configurationChanged(std::move(*configuration));
+    return version;
 }
 
-auto RegistryClient::noteEra(const HttpConnection::Result &result) -> void
+auto RegistryClient::noteEra(const HttpConnection::Result &result) -> bool
 {
     const auto era = result.answer ? context_.dialect.store.readEra(*result.answer) : std::nullopt;
-    if (!era || era_ == era) {
-        return;
+    if (!era || (era_ && *era <= *era_)) {
+        return false;
     }
-    if (era_) {
-        context_.log.write("store_restored",
-                           {{"era", *era},
-                            {"before", *era_},
-                            {"revision", revision_},
-                            {"configuration_version", configurationVersion_},
-                            {"configuration_revision", configurationRevision_}});
+    const auto before = std::exchange(era_, era);
+    if (!before) {
+        return false;
     }
-    era_ = era;
+    context_.log.write("store_restored",
+                       {{"era", *era},
+                        {"before", *before},
+                        {"revision", revision_},
+                        {"configuration_version", configurationVersion_},
+                        {"configuration_revision", configurationRevision_}});
+    handleRestoration();
+    return true;
+}
+
+auto RegistryClient::handleRestoration() -> void
+{
+    stopWatch();
+    hasFullListing_ = false;
+    storeVersion_ = 0;
+    if (isWatching_) {
+        listAll({});
+    }
+}
+
+auto RegistryClient::confirm(const TimePoint sentAt) -> void
+{
+    freshness_.markApplied(configurationVersion_);
+    freshness_.confirm({storeVersion_, sentAt, storeEra()}, context_.loop.now());
 }
 
 auto RegistryClient::backOff(const std::string_view what, const HttpConnection::Result &result) -> Duration
@@ -506,6 +533,7 @@
 
 auto RegistryClient::handleLeaseGrant(const HttpConnection::Result &result) -> void
 {
+    noteEra(result);
     isWritingRecord_ = false;
     const auto lease = internal::isOk(result) ? context_.dialect.store.readLease(*result.answer) : std::nullopt;
     if (!lease) {
@@ -533,7 +561,7 @@
     context_.counters.add("store.renew");
     callChannel_.call(
         context_.dialect.store.renewLease(lease_), settings_.callTimeout, [this, lease = lease_](const auto &result) {
-            if (lease == lease_) {
+            if (!noteEra(result) && lease == lease_) {
                 handleRenewal(result);
             }
         });
@@ -575,6 +603,7 @@
 
 auto RegistryClient::handleRecordWrite(const HttpConnection::Result &result, const std::string &written) -> void
 {
+    noteEra(result);
     isWritingRecord_ = false;
     if (internal::isOk(result)) {
         writtenRecord_ = written;
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -9,6 +9,7 @@
 #include <jasminelatch/event/loop.hpp>
 #include <jasminelatch/mesh/freshness.hpp>
 #include <jasminelatch/mesh/member.hpp>
+#include <jasminelatch/mesh/peer_message.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,9 @@
  * changes; API keys are trusted on the strength of their answers only. Peers share these confirmations, so that only a
  * few nodes need to poll.
  *
+ * An older copy may replace the store. Its revisions and leases then start over, so everything is read and written
+ * anew. The version of the configuration alone tells which of two is newer.
+ *
  * Records only tell a starting node which peers to connect to; nodes then announce themselves to their peers. Records
  * are therefore listed at the start and afterwards at long intervals, by cheap reads that may be stale.
  */
@@ -122,11 +126,10 @@
     auto applyConfirmation(const mesh::StoreConfirmation &confirmation) -> void;
 
     /**
-     * @brief Applies a configuration that a relay has forwarded; an older one is ignored.
-     * @param revision Store revision of its last change.
-     * @param text Value of the store's item.
+     * @brief Applies a configuration that a relay has forwarded; one whose version is not higher is ignored.
+     * @param message Configuration as stored.
      */
-    auto applyRelayedConfiguration(std::uint64_t revision, const std::string &text) -> void;
+    auto applyRelayedConfiguration(const mesh::ConfigurationMessage &message) -> void;
 
     /**
      * @brief Sets this node's role and its rank among the nodes that poll the store.
@@ -137,7 +140,10 @@
      */
     auto setRelayRank(bool isRelay, std::size_t rank, std::size_t peers, std::size_t livePeers) -> void;
 
-    /*! @brief Returns the revision of the configuration in force; zero before the first. */
+    /*! @brief Returns the version of the configuration in force; zero before the first. */
+    [[nodiscard]] auto configurationVersion() const -> std::uint64_t;
+
+    /*! @brief Returns the store revision of the configuration in force, for nodes of earlier builds. */
     [[nodiscard]] auto configurationRevision() const -> std::uint64_t;
 
     /*! @brief Returns the configuration in force as the store's undecoded value. */
@@ -146,8 +152,8 @@
     /*! @brief Returns the era of the store as far as known; zero before an answer has told it. */
     [[nodiscard]] auto storeEra() const -> std::uint64_t;
 
-    /*! @brief Returns the latest confirmation of the store, to be forwarded to peers. */
-    [[nodiscard]] auto confirmation() const -> const std::optional<mesh::StoreConfirmation> &;
+    /*! @brief Returns the acknowledgement of a peer's report, with the latest confirmation of the store. */
+    [[nodiscard]] auto acknowledgement() const -> mesh::ReportAck;
 
     /*! @brief Tells whether API keys may be trusted. */
     [[nodiscard]] auto isFresh() const -> bool;
@@ -173,8 +179,12 @@
     auto applyChanges(const StorePage &page, TimePoint sentAt) -> bool;
     [[nodiscard]] auto readPage(const HttpConnection::Result &result) const -> std::optional<StorePage>;
     auto apply(const StoreItem &item) -> void;
-    auto applyConfiguration(const StoreItem &item) -> void;
-    auto noteEra(const HttpConnection::Result &result) -> void;
+    /*! @brief Puts a configuration in force unless it is not newer; returns its version, or nothing if unreadable. */
+    auto applyConfiguration(const StoreItem &item) -> std::optional<std::uint64_t>;
+    /*! @brief Returns whether an older copy has replaced the store, so that everything is read anew. */
+    auto noteEra(const HttpConnection::Result &result) -> bool;
+    auto handleRestoration() -> void;
+    auto confirm(TimePoint sentAt) -> void;
     [[nodiscard]] auto backOff(std::string_view what, const HttpConnection::Result &result) -> Duration;
     auto noteStoreReachable() -> void;
 
@@ -200,10 +210,11 @@
     std::mt19937_64 random_;
     Duration backoff_;
     bool isReachable_{true};
-    std::uint64_t revision_{}; /*!< Store revision up to which every configuration change is applied. */
+    std::uint64_t revision_{}; /*!< Revision of `era_` up to which every configuration change is applied. */
     std::uint64_t configurationRevision_{}; /*!< Store revision of the configuration's last change. */
-    std::optional<mesh::StoreConfirmation>
-        listingConfirmation_; /*!< Confirmation by the first page of the current listing. */
+    std::optional<std::uint64_t> listingRevision_; /*!< Store revision of the current listing's first page. */
+    TimePoint listingSentAt_; /*!< When that page was requested. */
+    std::uint64_t storeVersion_{}; /*!< Version of the configuration that the store shows in `era_`. */
     std::optional<std::uint64_t> era_; /*!< Era of the store; nothing before an answer has told it. */
     bool isListing_{};
     bool usesLeafBackoff_{}; /*!< Whether the backoff may grow to `maxLeafBackoff`. */
--- a/test/jasminelatch/mesh/freshness.cpp
+++ b/test/jasminelatch/mesh/freshness.cpp
@@ -92,6 +92,48 @@
     EXPECT_FALSE(freshness.isFresh(start + 8501ms));
 }
 
+TEST(Freshness, AStoreThatLacksAKnownVersionConfirmsNothingUntilItIsWrittenAgain)
+{
+    // Version 7 withdrew a key; the copy that has replaced the store still has version 6.
+    Freshness freshness{{.validity = validity}};
+    freshness.markApplied(7);
+    freshness.confirm({7, start, 1}, start);
+    freshness.confirm({6, start + 3s, 2}, start + 3s);
+    EXPECT_FALSE(freshness.isFresh(start + 4501ms));
+    freshness.confirm({7, start + 5s, 2}, start + 5s);
+    EXPECT_TRUE(freshness.isFresh(start + 9s));
+    freshness.confirm({6, start + 9s, 3}, start + 9s);
+    EXPECT_FALSE(freshness.isFresh(start + 9501ms)) << "the store was replaced once more";
+}
+
+TEST(Freshness, ANodeThatStartsBesideAStoreThatLagsLearnsItFromItsPeers)
+{
+    Freshness freshness{{.validity = validity}};
+    freshness.markApplied(6);
+    freshness.confirm({6, start, 2}, start);
+    EXPECT_TRUE(freshness.isFresh(start));
+    freshness.confirm({7, start - 2s, 1}, start);
+    EXPECT_FALSE(freshness.isFresh(start)) << "peers know of a version that the store has lost";
+    EXPECT_TRUE(freshness.shouldQueryStore(20, start));
+    freshness.markApplied(7);
+    freshness.confirm({7, start + 1s, 2}, start + 1s);
+    EXPECT_TRUE(freshness.isFresh(start + 5s));
+}
+
+TEST(Freshness, ConfirmationsLagBehindChangesWithinOneEra)
+{
+    // Changes come faster than confirmations; each still confirms that nothing was missed before it.
+    Freshness freshness{{.validity = validity}};
+    freshness.markApplied(4);
+    freshness.confirm({4, start, 1}, start);
+    for (std::uint64_t version = 5; version < 60; ++version) {
+        const auto now = start + std::chrono::milliseconds{300 * version};
+        freshness.markApplied(version);
+        freshness.confirm({version - 2, now - 500ms, 1}, now);
+        EXPECT_TRUE(freshness.isFresh(now + 3s)) << version;
+    }
+}
+
 TEST(Freshness, IgnoresConfirmationsDatedInTheFuture)
 {
     // A peer's acknowledgement with an age out of range yields a time in the future.
--- a/test/jasminelatch/mesh/peer_message.cpp
+++ b/test/jasminelatch/mesh/peer_message.cpp
@@ -75,6 +75,7 @@
     NodeReport report{"vm", 5, "i-1", true, {1, 2, 3, 4ms}, {{"club", 9}}, {{"17 order", 3}}, {}};
     report.profiles = {{"order", 10, 20ms, {{"tiles", 2.0}}}};
     report.member = Member{"vm", 5, {"10.0.0.1", 7000}, "a", "orders", "i-1", 30, true, 3s, 4};
+    report.configurationVersion = 12;
     const auto bytes = encodeFrame(ReportMessage{report}, start);
     FrameReader reader{maxFrame};
     std::optional<NodeReport> seen;
@@ -89,6 +90,7 @@
     EXPECT_EQ(seen->profiles.front().calls, report.profiles.front().calls);
     EXPECT_EQ(seen->load.queued, 2U);
     EXPECT_EQ(seen->member, report.member);
+    EXPECT_EQ(seen->configurationVersion, 12U);
 }
 
 TEST(ReportAck, ForwardsTheStoreConfirmation)
@@ -106,6 +108,11 @@
     const auto confirmation = roundTrip({41, 1200ms});
     EXPECT_EQ(confirmation.revision, 41U);
     EXPECT_EQ(confirmation.age, Duration{1200ms});
+    EXPECT_EQ(confirmation.version, std::nullopt) << "as from earlier builds";
+    const auto current = roundTrip({41, 1200ms, 7, 2});
+    EXPECT_EQ(current.revision, 41U);
+    EXPECT_EQ(current.version, 7U);
+    EXPECT_EQ(current.era, 2U);
     EXPECT_EQ(roundTrip({}).age, std::nullopt);
 }
 
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -252,6 +252,46 @@
     EXPECT_EQ(fetch("/m/1", "k2").status, 200U);
 }
 
+TEST_F(NodeTest, ARestoredStoreWhoseRevisionsHaveCaughtUpHidesNoChange)
+{
+    for (const std::string round : {"1", "2"}) {
+        store.keepCopy();
+        store.put("op/config", configuration("000000" + round + "2", R"("k2")"));
+        EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").status == 401; }, 2s));
+        store.down = true;
+        store.restore();
+        store.put("op/config", configuration("000000" + round + "3", R"("k1")"));
+        for (auto count = 0; count < 20; ++count) {
+            store.put("op/other", base64("x"));
+        }
+        store.down = false;
+        // A watch from the former revision is answered, but the change came before that revision.
+        EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").status == 200; }, 3s)) << "round " << round;
+        EXPECT_EQ(fetch("/m/1", "k2").status, 401U);
+    }
+}
+
+TEST_F(NodeTest, ARestoredStoreBringsNoWithdrawnKeyBack)
+{
+    store.keepCopy();
+    store.put("op/config", configuration("0000000e", R"("k2")"));
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").status == 401; }, 2s));
+    loopback.runFor(1s);
+    store.restore();
+    const TestNode late{loopback, storeAt, "late", "catalogue"};
+    ASSERT_TRUE(loopback.runUntil([&] { return get(late.settings.ready, "/v1/ready").status == 200; }));
+    // The revocation time is 2 s here; the store shows the withdrawn key until the operator writes again.
+    const auto before = back.instance.requests.size();
+    loopback.runFor(2s);
+    EXPECT_NE(fetchAt(late, "/m/1", "k1").status, 200U);
+    EXPECT_NE(fetch("/m/1", "k1").status, 200U);
+    EXPECT_EQ(back.instance.requests.size(), before);
+    store.put("op/config", configuration("0000000e", R"("k2")"));
+    EXPECT_TRUE(loopback.runUntil([&] { return fetchAt(late, "/m/1", "k2").status == 200; }, 2s));
+    EXPECT_EQ(fetch("/m/1", "k2").status, 200U);
+    EXPECT_EQ(fetchAt(late, "/m/1", "k1").status, 401U);
+}
+
 TEST_F(NodeTest, KeysAreNotTrustedUntilTheStoreIsReachableAgain)
 {
     store.down = true;
--- a/test/jasminelatch/sidecar/relay_fleet.cpp
+++ b/test/jasminelatch/sidecar/relay_fleet.cpp
@@ -78,6 +78,27 @@
     EXPECT_EQ(fetchAt(loopback, leaf(), "/m/1", "k1").status, 401U);
 }
 
+TEST_F(RelayFleetTest, AConfigurationWhoseRevisionARestoredStoreGivesOutAgainIsInForceAtAllNodesInTime)
+{
+    for (const std::string round : {"1", "2"}) {
+        store.keepCopy();
+        store.put("op/other", base64("x"));
+        store.put("op/config", configuration("000000" + round + "2", R"("k2")"));
+        EXPECT_TRUE(loopback.runUntil([&] { return fetchAt(loopback, leaf(), "/m/1", "k2").status == 200; }, 2s));
+        store.down = true;
+        loopback.runFor(500ms);
+        store.restore();
+        store.down = false;
+        // The operator writes again what the store has lost; its next change gets the revision of the lost one.
+        store.put("op/config", configuration("000000" + round + "2", R"("k2")"));
+        loopback.runFor(1s);
+        store.put("op/config", configuration("000000" + round + "3", R"("k1")"));
+        const auto isInForce = [&](const auto &node) { return fetchAt(loopback, *node, "/m/1", "k2").status == 401; };
+        EXPECT_TRUE(loopback.runUntil([&] { return std::ranges::all_of(nodes, isInForce); }, 2s)) << round;
+        EXPECT_EQ(fetchAt(loopback, leaf(), "/m/1", "k1").status, 200U) << round;
+    }
+}
+
 TEST_F(RelayFleetTest, OnlyRelaysPollTheStore)
 {
     loopback.runFor(3s);
--- a/test/support/platform_store.hpp
+++ b/test/support/platform_store.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminelatch::test {
@@ -21,7 +22,7 @@
 /**
  * @brief In-memory stand-in for the platform's store with items, watches and leases, served over HTTP.
  *
- * Values are kept in base64 as written. Leases never expire.
+ * Values are kept in base64 as written. Leases never expire. An older copy may replace its contents.
  */
 class PlatformStore
 {
@@ -45,11 +46,15 @@
         address.server = std::make_unique<sidecar::HttpServer>(
             *loop_,
             sidecar::HttpServer::Hooks{
-                [this, &address](const mesh::Request &request, sidecar::HttpServer::Respond respond) {
+                [this, &address](const mesh::Request &request, sidecar::HttpServer::Respond plainRespond) {
+                    const auto respond = [this, plainRespond = std::move(plainRespond)](mesh::Answer answer) {
+                        answer.fields.push_back({"Store-Era", std::to_string(era_)});
+                        plainRespond(std::move(answer));
+                    };
                     if (address.isUnavailable) {
                         respond({503, {}, {}, {}});
                     } else {
-                        answer(request, std::move(respond));
+                        answer(request, respond);
                     }
                     return std::uint64_t{0};
                 },
@@ -71,9 +76,34 @@
         wakeWatches();
     }
 
+    /*! @brief Keeps a copy of the present contents for `restore`. */
+    auto keepCopy() -> void { copy_ = Copy{items_, revision_, lastLease_}; }
+
+    /*! @brief Replaces the contents by the copy; its history is gone, and revisions and leases are given out again. */
+    auto restore() -> void
+    {
+        items_ = copy_.items;
+        revision_ = copy_.revision;
+        lastLease_ = copy_.lastLease;
+        historyStart_ = revision_;
+        changes_.clear();
+        ++era_;
+        for (auto &[name, watch] : std::exchange(watches_, {})) {
+            watch.respond({503, {}, {}, {}});
+        }
+    }
+
+    /*! @brief Returns the value of an item in base64, or nothing. */
+    [[nodiscard]] auto find(const std::string &key) const -> std::optional<std::string>
+    {
+        const auto found = items_.find(key);
+        return found == items_.end() ? std::nullopt : std::optional{found->second.at("value").get<std::string>()};
+    }
+
     /*! @brief Freezes the data returned to reads that allow stale results at its current state. */
     auto freezeStaleReads() -> void { staleItems_ = items_; }
 
+    bool hasNoHistory{}; /*!< Whether every watch is answered with 410. */
     bool down{}; /*!< Whether calls at all addresses are answered with 503 and have no effect. */
     std::size_t calls{}; /*!< Cumulative count of calls. */
     std::size_t renewals{}; /*!< Cumulative count of lease renewals. */
@@ -81,6 +111,12 @@
 private:
     using Json = nlohmann::json;
 
+    struct Copy {
+        std::map<std::string, Json> items;
+        std::uint64_t revision{};
+        std::uint64_t lastLease{};
+    };
+
     struct Watch {
         std::uint64_t after{};
         sidecar::HttpServer::Respond respond;
@@ -146,8 +182,13 @@
 
     auto watch(const std::string &target, sidecar::HttpServer::Respond respond) -> void
     {
+        const auto after = queryNumber(target, "after");
+        if (hasNoHistory || after > revision_ || after < historyStart_) {
+            respond({410, {}, {}, {}});
+            return;
+        }
         const auto name = ++lastWatch_;
-        watches_[name] = {queryNumber(target, "after"), std::move(respond)};
+        watches_[name] = {after, std::move(respond)};
         loop_->after(std::chrono::milliseconds{queryNumber(target, "wait-ms")}, [this, name] { finishWatch(name); });
         wakeWatches();
     }
@@ -200,6 +241,9 @@
     std::vector<Json> changes_;
     std::map<std::uint64_t, Watch> watches_;
     std::uint64_t revision_{10};
+    std::uint64_t historyStart_{}; /*!< Revision after which changes are kept. */
+    std::uint64_t era_{1};
+    Copy copy_;
     std::uint64_t lastLease_{};
     std::uint64_t lastWatch_{};
     std::list<Address> addresses_;
