Write leases and records again when a copy replaces the store

A lease and a record that the copy lacks were gone until the next renewal failed, or for good where the store had granted the id of the lease to another node, whose lease this node then renewed. A departure that the copy lacks was never written again, so the next process of that node would have used the instance (ADepartureThatARestoredStoreHasLostIsWrittenAgain, not written within 4 s before).

A new era ends the lease on this side; the record is written under a new one. The result of a write that was under way under the old lease does not count.

--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -488,6 +488,12 @@
     if (isWatching_) {
         listAll({});
     }
+    // The id of the lost lease may be granted to another node.
+    lease_ = 0;
+    context_.loop.cancel(renewTimer_);
+    renewTimer_ = 0;
+    writtenRecord_.clear();
+    writeRecord();
 }
 
 auto RegistryClient::confirm(const TimePoint sentAt) -> void
@@ -598,13 +604,19 @@
     const auto &store = context_.dialect.store;
     callChannel_.call(knowsPreviousRecord_ ? store.put(key, text, lease_) : store.putIfAbsent(key, text, lease_),
                       settings_.callTimeout,
-                      [this, text](const auto &result) { handleRecordWrite(result, text); });
+                      [this, text, lease = lease_](const auto &result) { handleRecordWrite(result, text, lease); });
 }
 
-auto RegistryClient::handleRecordWrite(const HttpConnection::Result &result, const std::string &written) -> void
+auto RegistryClient::handleRecordWrite(const HttpConnection::Result &result,
+                                       const std::string &written,
+                                       const std::uint64_t lease) -> void
 {
     noteEra(result);
     isWritingRecord_ = false;
+    if (lease != lease_) {
+        writeRecord();
+        return;
+    }
     if (internal::isOk(result)) {
         writtenRecord_ = written;
         if (!knowsPreviousRecord_) {
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -194,7 +194,8 @@
     auto renew() -> void;
     auto handleRenewal(const HttpConnection::Result &result) -> void;
     auto writeRecord() -> void;
-    auto handleRecordWrite(const HttpConnection::Result &result, const std::string &written) -> void;
+    auto handleRecordWrite(const HttpConnection::Result &result, const std::string &written, std::uint64_t lease)
+        -> void;
     auto handleRecordConflict(const mesh::Answer &answer) -> void;
     auto setPreviousRecord(const std::optional<mesh::Member> &record) -> void;
     auto scheduleRecordRetry() -> void;
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -292,6 +292,22 @@
     EXPECT_EQ(fetchAt(late, "/m/1", "k1").status, 401U);
 }
 
+TEST_F(NodeTest, ADepartureThatARestoredStoreHasLostIsWrittenAgain)
+{
+    loopback.runFor(500ms);
+    store.keepCopy();
+    const auto before = store.find("jasminelatch/nodes/back");
+    const auto isRecorded = [&] {
+        const auto record = store.find("jasminelatch/nodes/back");
+        return record && record != before;
+    };
+    EXPECT_EQ(report(back, "draining", 2).status, 200U);
+    EXPECT_TRUE(loopback.runUntil(isRecorded, 1s));
+    store.restore();
+    EXPECT_FALSE(isRecorded());
+    EXPECT_TRUE(loopback.runUntil(isRecorded, 4s));
+}
+
 TEST_F(NodeTest, KeysAreNotTrustedUntilTheStoreIsReachableAgain)
 {
     store.down = true;
