A connection that closes in the head of a response is a failure, not an empty success

Reported by other operators: an instance stopped in the middle of its head and closed, and clients got a 200 with an empty body, framed as whole. It can happen here after an interim response or a late response to another request: the parser is new then, and ending its input yields its default message, a 200 without a body. A late response that ended with its connection left the request unanswered until its deadline.

The end of the input completes a response only once its head has been read; a skipped one fails the request. Tests, failing before: AResponseThatBreaksOffInItsHeadIsAnErrorWhereverItDoes (every byte of a head, after nothing, an interim and another response) and AnotherRequestsResponseThatEndsWithTheConnectionIsAnError.

--- a/src/jasminelatch/sidecar/http_connection.cpp
+++ b/src/jasminelatch/sidecar/http_connection.cpp
@@ -83,7 +83,6 @@
 auto HttpConnection::send(const mesh::Request &request) -> void
 {
     isBusy_ = true;
-    hasReceived_ = false;
     skippedMessages_ = 0;
     mayHaveSent_ = stream_.isOpen();
     isHeadRequest_ = request.method == "HEAD";
@@ -125,7 +124,6 @@
         lost();
         return;
     }
-    hasReceived_ = true;
     input_.append(bytes.data(), bytes.size());
     while (parse()) {
     }
@@ -221,11 +219,12 @@
         }
         return;
     }
-    if (parser_ && hasReceived_ && reason == "closed by the other end") {
+    // Without a complete head, the parser's message is a default one: a success with an empty body.
+    if (parser_ && parser_->is_header_done() && reason == "closed by the other end") {
         boost::system::error_code error;
         parser_->put_eof(error);
-        if (!error && parser_->is_done()) {
-            completeMessage();
+        const auto isComplete = !error && parser_->is_done();
+        if (isComplete && !completeMessage()) {
             return;
         }
     }
--- a/src/jasminelatch/sidecar/http_connection.hpp
+++ b/src/jasminelatch/sidecar/http_connection.hpp
@@ -85,6 +85,7 @@
 
     auto receive(std::span<const char> bytes) -> void;
     auto parse() -> bool;
+    /*! @brief Ends the request with the parsed message; returns true if the message was skipped instead. */
     auto completeMessage() -> bool;
     [[nodiscard]] auto skipMessage() -> bool;
     auto streamClosed(std::string_view reason) -> void;
@@ -108,7 +109,6 @@
     bool isBroken_{};
     bool isHeadRequest_{};
     bool mayHaveSent_{};
-    bool hasReceived_{};
     std::optional<TimePoint> keepAliveUntil_;
     event::Stream stream_;
 };
--- a/test/jasminelatch/sidecar/http_connection.cpp
+++ b/test/jasminelatch/sidecar/http_connection.cpp
@@ -118,6 +118,53 @@
     EXPECT_TRUE(result->sent);
 }
 
+TEST_F(HttpConnectionTest, AResponseThatBreaksOffInItsHeadIsAnErrorWhereverItDoes)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nContent-Length: 20\r\n\r\n";
+    for (const std::string before :
+         {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nAttempt-Id: 0\r\nContent-Length: 0\r\n\r\n"}) {
+        for (std::size_t length = before.empty() ? 1 : 0; length < head.size(); ++length) {
+            connect();
+            sendAndAwait("1");
+            server.streams.back()->write(before + head.substr(0, length));
+            server.streams.back()->closeWhenDrained();
+            ASSERT_TRUE(loopback.runUntil([&] { return result.has_value(); })) << before << length;
+            EXPECT_FALSE(result->answer) << before << length;
+            EXPECT_TRUE(result->sent);
+        }
+    }
+}
+
+TEST_F(HttpConnectionTest, AnotherRequestsResponseThatEndsWithTheConnectionIsAnError)
+{
+    connect();
+    sendAndAwait("1");
+    server.streams.back()->write("HTTP/1.1 200 OK\r\nAttempt-Id: 0\r\n\r\nold");
+    server.streams.back()->closeWhenDrained();
+    ASSERT_TRUE(loopback.runUntil([&] { return result.has_value(); }));
+    EXPECT_FALSE(result->answer);
+    EXPECT_TRUE(result->sent);
+}
+
+TEST_F(HttpConnectionTest, ARepeatedRefusalOfAnEarlierRequestIsNotTheResponseToTheNext)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
+    connect();
+    sendAndAwait("1");
+    answer(refusal + "Attempt-Id: 1\r\n\r\n");
+    ASSERT_TRUE(result && result->answer);
+    ASSERT_TRUE(connection->isReusable());
+    sendAndAwait("2");
+    answer(refusal + "Attempt-Id: 1\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: 2\r\nContent-Length: 3\r\n\r\nran");
+    ASSERT_TRUE(result && result->answer);
+    EXPECT_EQ(result->answer->body, "ran");
+    sendAndAwait("3");
+    answer(refusal + "\r\n");
+    ASSERT_TRUE(result);
+    EXPECT_FALSE(result->answer) << "without an id it may belong to either";
+    EXPECT_TRUE(result->sent) << "request 3 may have run";
+}
+
 TEST_F(HttpConnectionTest, AResponseWithoutALengthEndsWhenTheConnectionCloses)
 {
     connect();
