A stopping node takes no request that it could not finish

Reported by other operators: in a planned stop, requests that came late in the grace period were taken and passed on, and cut without an answer at its end.

From 2.6 s after the signal, when two readiness checks have seen it, a request is taken only if its deadline passes before the node ends; others get 503 with the time left as Retry-After, and have not run. AStoppingNodePasses- NoRequestOnThatItCouldNotFinish failed before: the order reached an instance.

--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -170,6 +170,7 @@
     log_.write("stop", {{"active", router_.activeRequests()}, {"at_instance", instance_.activeRequests()}});
     callers_.startDraining();
     loop_->after(internal::instanceDrainDelay, [this] { closeInstance(); });
+    loop_->after(internal::minDrainTime, [this] { router_.acceptUntil(endTime()); });
     checkStopped();
 }
 
@@ -446,12 +447,17 @@
     return configuration_ ? configuration_->configuration().limits : mesh::Limits{};
 }
 
+auto Node::endTime() const -> TimePoint
+{
+    return *stoppingSince_ + settings_.grace - internal::graceMargin;
+}
+
 auto Node::checkStopped() -> void
 {
-    const auto elapsed = loop_->now() - *stoppingSince_;
+    const auto now = loop_->now();
     const auto active = router_.activeRequests() + instance_.activeRequests() + callers_.activeRequests();
-    const auto done = elapsed >= internal::minDrainTime && active == 0;
-    if (done || elapsed >= settings_.grace - internal::graceMargin) {
+    const auto done = now - *stoppingSince_ >= internal::minDrainTime && active == 0;
+    if (done || now >= endTime()) {
         log_.write("stopped", {{"cut_off", active}});
         loop_->stop();
         return;
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -91,6 +91,7 @@
     [[nodiscard]] auto ownReport() const -> mesh::NodeReport;
     [[nodiscard]] auto limits() const -> mesh::Limits;
     auto closeInstance() -> void;
+    [[nodiscard]] auto endTime() const -> TimePoint;
     auto checkStopped() -> void;
     auto send(const std::string &node, const mesh::HopRequest &request, std::function<void(mesh::HopReply)> callback)
         -> std::uint64_t;
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -18,6 +18,8 @@
 constexpr unsigned statusGatewayTimeout = 504;
 /*! @brief Time after the deadline in which the reply of the last node is still accepted. */
 constexpr Duration replyGracePeriod = std::chrono::milliseconds{40};
+/*! @brief Time for which the answer of an expired request may be under way when the node ends. */
+constexpr Duration endMargin = std::chrono::milliseconds{100};
 /*! @brief Rank of calls within admitted call trees: refusing one wastes the work already done in its tree. */
 constexpr std::uint32_t callRank = 0;
 /*! @brief A client's request may wait for a slot for the latency target divided by this number. */
@@ -104,6 +106,11 @@
     }
 }
 
+auto RequestRouter::acceptUntil(const TimePoint end) -> void
+{
+    end_ = end;
+}
+
 auto RequestRouter::activeRequests() const -> std::size_t
 {
     return attempts_.size();
@@ -156,6 +163,9 @@
     hop.caller = ownService_;
     hop.idempotent = route->idempotent;
     hop.deadline = now + (call.timeLeft ? std::min(*call.timeLeft, route->timeout) : route->timeout);
+    if (end_ && hop.deadline + internal::endMargin > *end_) {
+        return Refusal{internal::statusUnavailable, "node_stopping", std::max(*end_ - now, mesh::minRetryAfter)};
+    }
     hop.rank = internal::callRank;
     hop.waitLimit = hop.deadline - now;
     if (account != nullptr) {
--- a/src/jasminelatch/sidecar/request_router.hpp
+++ b/src/jasminelatch/sidecar/request_router.hpp
@@ -94,6 +94,12 @@
      */
     auto cancel(std::uint64_t requestId) -> void;
 
+    /**
+     * @brief Refuses requests that may last past the end of this node from now on.
+     * @param end Time at which the node ends.
+     */
+    auto acceptUntil(TimePoint end) -> void;
+
     /*! @brief Returns the number of requests that are not answered yet. */
     [[nodiscard]] auto activeRequests() const -> std::size_t;
 
@@ -149,6 +155,7 @@
     std::mt19937_64 random_;
     /*! @brief Current weights of smooth weighted round robin, by route and then by service. */
     std::map<std::string, std::map<std::string, double>> splitWeights_;
+    std::optional<TimePoint> end_; /*!< When this node ends; nothing while it accepts every request. */
 };
 
 /**
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -412,6 +412,23 @@
     EXPECT_NE(client.received.find("Connection: close"), std::string::npos);
 }
 
+TEST_F(NodeTest, AStoppingNodePassesNoRequestOnThatItCouldNotFinish)
+{
+    front.node.stop();
+    loopback.runFor(2700ms);
+    // The grace period is 4 s here, and these requests may take 1 s and 600 ms.
+    const auto before = back.instance.requests.size();
+    const mesh::Request order{
+        "POST", "/o/1", {{"Host", "a.example"}, {"Attempt-Id", "late"}, {"Authorization", "Bearer k1"}}, "ab"};
+    const auto refused = send(front.settings.callers, order);
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_NE(mesh::findField(refused.fields, "Retry-After"), nullptr);
+    EXPECT_EQ(back.instance.requests.size(), before);
+    EXPECT_EQ(fetch("/m/1", "k1").status, 200U) << "served while it can be finished";
+    loopback.runFor(400ms);
+    EXPECT_EQ(fetch("/m/1", "k1").status, 503U);
+}
+
 TEST_F(NodeTest, AJoiningNodeIsNotChargedForEarlierAdmissionsOfItsPeers)
 {
     // The account is idle when the new node joins, so reports that contain changes only do not include it.
--- a/test/jasminelatch/sidecar/relay_fleet.cpp
+++ b/test/jasminelatch/sidecar/relay_fleet.cpp
@@ -93,7 +93,9 @@
         store.put("op/config", configuration("000000" + round + "2", R"("k2")"));
         loopback.runFor(1s);
         store.put("op/config", configuration("000000" + round + "3", R"("k1")"));
-        const auto isInForce = [&](const auto &node) { return fetchAt(loopback, *node, "/m/1", "k2").status == 401; };
+        const auto isInForce = [&](const auto &node) {
+            return fetchAt(loopback, *node, "/m/1", "k2").status == 401;
+        };
         EXPECT_TRUE(loopback.runUntil([&] { return std::ranges::all_of(nodes, isInForce); }, 2s)) << round;
         EXPECT_EQ(fetchAt(loopback, leaf(), "/m/1", "k1").status, 200U) << round;
     }
