List a store that keeps no history once a second, not without a pause

The first 410 still lists at once; further ones wait until a second has passed since the last complete listing, half of the time in which a configuration must be in force.

--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -204,6 +204,7 @@
     isListing_ = false;
     reportListedMembers();
     hasFullListing_ = true;
+    listedAt_ = context_.loop.now();
     revision_ = *listingRevision_;
     confirm(listingSentAt_);
     if (isWatching_) {
@@ -295,8 +296,7 @@
         return;
     }
     if (internal::statusOf(result) == internal::statusHistoryGone) {
-        context_.log.write("store_history_gone", {{"revision", revision_}});
-        listAll({});
+        handleHistoryGone();
         return;
     }
     const auto page = readPage(result);
@@ -317,6 +317,21 @@
     }
 }
 
+auto RegistryClient::handleHistoryGone() -> void
+{
+    context_.log.write("store_history_gone", {{"revision", revision_}});
+    stopWatch();
+    const auto nextListing = listedAt_ + settings_.historyGoneInterval;
+    if (context_.loop.now() >= nextListing) {
+        listAll({});
+        return;
+    }
+    // A store that keeps no history at all would be listed without a pause.
+    hasFullListing_ = false;
+    needsWatchRestart_ = isWatching_;
+    nextCallAt_ = nextListing;
+}
+
 auto RegistryClient::stopWatch() -> void
 {
     context_.loop.cancel(watchTimer_);
@@ -369,9 +384,7 @@
         return;
     }
     if (internal::statusOf(result) == internal::statusHistoryGone) {
-        context_.log.write("store_history_gone", {{"revision", revision_}});
-        stopWatch();
-        listAll({});
+        handleHistoryGone();
         return;
     }
     const auto page = readPage(result);
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -48,6 +48,9 @@
         Duration callTimeout{std::chrono::milliseconds{1000}};
         Duration leaseDuration{std::chrono::seconds{10}}; /*!< Time for which a record outlives its node. */
         Duration renewInterval{std::chrono::seconds{3}}; /*!< Interval between lease renewals. */
+        /*! @brief Minimum time between listings of a store that keeps no history; short compared with the 2 s within
+         * which a configuration must take effect. */
+        Duration historyGoneInterval{std::chrono::seconds{1}};
         /*! @brief Backoff after a failed call; doubles with each further failure. */
         Duration initialBackoff{std::chrono::milliseconds{200}};
         /*! @brief Upper bound of the backoff, so that all nodes reconnect within 2 s. */
@@ -171,6 +174,7 @@
     auto reportListedMembers() -> void;
     auto watch() -> void;
     auto handleWatchResult(const HttpConnection::Result &result, TimePoint sentAt) -> void;
+    auto handleHistoryGone() -> void;
     auto stopWatch() -> void;
     auto restartWatch() -> void;
     auto scheduleFreshnessCheck() -> void;
@@ -214,6 +218,7 @@
     std::uint64_t revision_{}; /*!< Revision of `era_` up to which every configuration change is applied. */
     std::uint64_t configurationRevision_{}; /*!< Store revision of the configuration's last change. */
     std::optional<std::uint64_t> listingRevision_; /*!< Store revision of the current listing's first page. */
+    TimePoint listedAt_; /*!< End of the last complete listing. */
     TimePoint listingSentAt_; /*!< When that page was requested. */
     std::uint64_t storeVersion_{}; /*!< Version of the configuration that the store shows in `era_`. */
     std::optional<std::uint64_t> era_; /*!< Era of the store; nothing before an answer has told it. */
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -292,6 +292,24 @@
     EXPECT_EQ(fetchAt(late, "/m/1", "k1").status, 401U);
 }
 
+TEST_F(NodeTest, AStoreWithoutHistoryIsNotListedWithoutAPauseAndItsChangesAreInForceInTime)
+{
+    store.hasNoHistory = true;
+    store.put("op/other", base64("x"));
+    loopback.runFor(1s);
+    const auto before = store.calls;
+    loopback.runFor(4s);
+    // One listing and one watch a second and node, and a few other calls.
+    EXPECT_LE(store.calls - before, 2U * 4U * 4U);
+    store.put("op/config", configuration("0000000e", R"("k2")"));
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k2").status == 200; }, 2s));
+    EXPECT_EQ(fetch("/m/1", "k1").status, 401U);
+    store.hasNoHistory = false;
+    loopback.runFor(2s);
+    store.put("op/config", configuration("0000000f", R"("k1")"));
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").status == 200; }, 500ms)) << "watches again";
+}
+
 TEST_F(NodeTest, ADepartureThatARestoredStoreHasLostIsWrittenAgain)
 {
     loopback.runFor(500ms);
