Keep an instance's rate at a node that starts, also at limits below one a second

An instance that accepts nothing is asked every 4 s.

So few requests must not last: the node asks the instance's health endpoint at its first configuration and first report while no answer has come, though its id is known, and requests wait for the first answer instead of being refused for a rate that is unknown. A new start of the instance needs no such care: its limit, if any, is new to all.

--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -37,6 +37,16 @@
     rateLimit_.awaitFirstAnswer(now);
 }
 
+auto InstanceGate::isAwaitingAnswer() const noexcept -> bool
+{
+    return rateLimit_.isAwaitingAnswer();
+}
+
+auto InstanceGate::resetRateLimit() -> void
+{
+    rateLimit_.reset();
+}
+
 auto InstanceGate::rateLimit() const noexcept -> std::optional<double>
 {
     return rateLimit_.limit();
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -87,11 +87,18 @@
     auto recordAnswer(std::optional<double> limit, TimePoint now) -> bool;
 
     /**
-     * @brief Forgets the rate limit and sends few requests until the next answer.
+     * @brief Sends few requests until the next answer, as the instance may have stated a limit before this node
+     * started.
      * @param now Current time.
      */
     auto awaitFirstAnswer(TimePoint now) -> void;
 
+    /*! @brief Returns whether no answer has arrived since `awaitFirstAnswer`. */
+    [[nodiscard]] auto isAwaitingAnswer() const noexcept -> bool;
+
+    /*! @brief Forgets the rate limit, for a new start of the instance. */
+    auto resetRateLimit() -> void;
+
     /*! @brief Returns the requests per second that the instance states, or nothing. */
     [[nodiscard]] auto rateLimit() const noexcept -> std::optional<double>;
 
--- a/src/jasminelatch/mesh/instance_rate_limit.cpp
+++ b/src/jasminelatch/mesh/instance_rate_limit.cpp
@@ -7,7 +7,7 @@
 namespace internal {
 
 /*! @brief Lowest rate in requests per second, at which an instance that accepts none is asked again. */
-constexpr double minRate = 0.5;
+constexpr double minRate = 0.25;
 
 } // namespace internal
 
@@ -42,6 +42,12 @@
     updatedAt_ = now;
 }
 
+auto InstanceRateLimit::reset() -> void
+{
+    limit_.reset();
+    isAwaitingAnswer_ = false;
+}
+
 auto InstanceRateLimit::take(const TimePoint now) -> bool
 {
     if (isUnlimited()) {
@@ -58,7 +64,8 @@
 
 auto InstanceRateLimit::wait(const std::size_t ahead, const TimePoint now) const -> Duration
 {
-    if (isUnlimited()) {
+    // The first answer is expected at any moment, and usually states no limit.
+    if (!limit_) {
         return Duration::zero();
     }
     const auto missing = static_cast<double>(ahead) + 1.0 - level(now);
@@ -66,6 +73,11 @@
     return std::chrono::ceil<Duration>(seconds);
 }
 
+auto InstanceRateLimit::isAwaitingAnswer() const noexcept -> bool
+{
+    return isAwaitingAnswer_;
+}
+
 auto InstanceRateLimit::limit() const noexcept -> std::optional<double>
 {
     return limit_;
@@ -78,7 +90,7 @@
 
 auto InstanceRateLimit::rate() const -> double
 {
-    return limit_ ? std::max(*limit_, internal::minRate) : settings_.initialRequests;
+    return limit_ ? std::max(*limit_, internal::minRate) : settings_.initialRate;
 }
 
 auto InstanceRateLimit::depth() const -> double
--- a/src/jasminelatch/mesh/instance_rate_limit.hpp
+++ b/src/jasminelatch/mesh/instance_rate_limit.hpp
@@ -22,8 +22,8 @@
     /*! @brief Depth of the bucket, and behaviour while no limit is known. */
     struct Settings {
         Duration burstTime{std::chrono::milliseconds{250}}; /*!< Depth of the bucket, as time at the stated rate. */
-        double initialRequests{4.0}; /*!< Requests sent before the first answer, and their rate per second from then on:
-                                          an instance that never answers must not stop all requests. */
+        double initialRequests{2.0}; /*!< Requests sent before the first answer. */
+        double initialRate{0.5}; /*!< Further ones per second: an instance that never answers must not stop them all. */
         Duration holdTime{std::chrono::seconds{1}}; /*!< Time since an answer last stated the limit after which an
                                                        answer without one ends it; answers may overtake each other. */
     };
@@ -39,12 +39,15 @@
     auto recordAnswer(std::optional<double> limit, TimePoint now) -> bool;
 
     /**
-     * @brief Forgets what is known and sends few requests until the next answer, for a new start of the instance or of
-     * this node.
+     * @brief Sends few requests until the next answer, for a node that starts and whose instance may have stated a
+     * limit before.
      * @param now Current time.
      */
     auto awaitFirstAnswer(TimePoint now) -> void;
 
+    /*! @brief Forgets the limit, for a new start of the instance. */
+    auto reset() -> void;
+
     /**
      * @brief Takes the token for one request.
      * @param now Current time.
@@ -53,13 +56,16 @@
     [[nodiscard]] auto take(TimePoint now) -> bool;
 
     /**
-     * @brief Returns when a request could be sent.
+     * @brief Returns when the stated limit allows a request.
      * @param ahead Number of requests that are sent before it.
      * @param now Current time.
      * @return Time from now; zero if it need not wait.
      */
     [[nodiscard]] auto wait(std::size_t ahead, TimePoint now) const -> Duration;
 
+    /*! @brief Returns whether no answer has arrived since `awaitFirstAnswer`. */
+    [[nodiscard]] auto isAwaitingAnswer() const noexcept -> bool;
+
     /*! @brief Returns the requests per second that the instance states, or nothing. */
     [[nodiscard]] auto limit() const noexcept -> std::optional<double>;
 
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -44,7 +44,7 @@
     }
     const auto &latest = record_.report();
     if (!before.id.empty() && !mesh::isSameStart(before, latest)) {
-        gate_.awaitFirstAnswer(context_.loop.now());
+        gate_.resetRateLimit();
     }
     const auto hasRestarted = before.id != latest.id || before.startTimeMs != latest.startTimeMs;
     if (hasRestarted) {
@@ -180,6 +180,11 @@
     return gate_.load(context_.loop.now());
 }
 
+auto LocalInstance::isAwaitingFirstAnswer() const -> bool
+{
+    return gate_.isAwaitingAnswer();
+}
+
 auto LocalInstance::rateLimit() const -> std::optional<double>
 {
     return gate_.rateLimit();
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -65,7 +65,7 @@
 
     /**
      * @brief Queries the health endpoint of the instance, so that a node that starts beside a running instance need not
-     * wait for its next report.
+     * wait for its next report, and learns a rate limit before it sends requests.
      * @param path Path of the health endpoint.
      * @param found Called with the report in the response if the instance is healthy.
      */
@@ -106,6 +106,9 @@
     /*! @brief Returns the running and queued requests, the concurrency limit and the run time. */
     [[nodiscard]] auto load() const -> mesh::InstanceLoad;
 
+    /*! @brief Returns whether the instance has not answered this node yet. */
+    [[nodiscard]] auto isAwaitingFirstAnswer() const -> bool;
+
     /*! @brief Returns the requests per second that the instance accepts at most, or nothing if it is unlimited. */
     [[nodiscard]] auto rateLimit() const -> std::optional<double>;
 
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -226,6 +226,9 @@
         return;
     }
     auto after = ownMember();
+    if (before.instanceId.empty()) {
+        probeInstance();
+    }
     if (after.coldStartRemaining < before.coldStartRemaining) {
         // Peers know how long the slow start lasts, so its end needs no new record.
         after.coldStartRemaining = before.coldStartRemaining;
@@ -237,8 +240,11 @@
 
 auto Node::probeInstance() -> void
 {
+    if (!configuration_ || !instance_.isAwaitingFirstAnswer()) {
+        return;
+    }
     const auto *service = configuration_->findService(settings_.service);
-    if (service == nullptr || service->healthPath.empty() || !instance_.latest().id.empty()) {
+    if (service == nullptr || service->healthPath.empty()) {
         return;
     }
     instance_.queryHealth(service->healthPath, [this](const mesh::InstanceReport &report) {
