Accept the store's answers before its era is known

Found when the diff was read: readPage compared an answer's era with zero while none was known, so a first listing that arrives before any other answer would have been dropped.

--- a/src/jasminelatch/mesh/freshness.hpp
+++ b/src/jasminelatch/mesh/freshness.hpp
@@ -30,7 +30,8 @@
  * its response yields a confirmation. A confirmation is dated to just before its query was sent, because the response
  * may be delayed. Peers forward their confirmations; a forwarded one takes effect only once this node has applied every
  * change that it covers. A few nodes query the store often, and the others only if they receive no confirmation from
- * those.
+ * those. An older copy may replace the store, which then lacks changes that it has acknowledged; it confirms nothing
+ * until they are written again.
  */
 class Freshness
 {
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -421,8 +421,9 @@
         return std::nullopt;
     }
     // A late answer of the store that a copy has replaced has revisions that no longer count.
-    const auto isOfCurrentEra = context_.dialect.store.readEra(*result.answer).value_or(storeEra()) == storeEra();
-    return isOfCurrentEra ? context_.dialect.store.readPage(*result.answer) : std::nullopt;
+    const auto era = context_.dialect.store.readEra(*result.answer);
+    const auto isOfOtherEra = era && era_ && *era != *era_;
+    return isOfOtherEra ? std::nullopt : context_.dialect.store.readPage(*result.answer);
 }
 
 auto RegistryClient::apply(const StoreItem &item) -> void
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -119,6 +119,12 @@
     EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").body == "from i-late"; }, 1s));
 }
 
+TEST_F(NodeTest, AStartingNodeTakesTheConfigurationFromItsFirstListing)
+{
+    const TestNode late{loopback, storeAt, "late", "catalogue"};
+    EXPECT_TRUE(loopback.runUntil([&] { return get(late.settings.ready, "/v1/ready").status == 200; }, 300ms));
+}
+
 TEST_F(NodeTest, NodesThatStartTogetherFindEachOtherLater)
 {
     // When nodes start at the same time, neither record exists yet when the other node lists records.
