A late answer of a leaving instance does not exclude its next start

An instance may start again under the id that it had. An answer that says that it is leaving, or states a limit, and arrives after the next start has reported was taken for a statement of that start: its node refused everything until another start, and entry nodes passed it over for ten minutes.

Both now compare the start to which the request was sent, at the node beside the instance as well as at entry nodes.

--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -39,12 +39,13 @@
     }
 }
 
-auto Placement::markLeaving(const std::string &name, const std::string &instanceId, const TimePoint now) -> void
+auto Placement::markLeaving(const std::string &name,
+                            const std::string &instanceId,
+                            const std::uint64_t instanceStartMs,
+                            const TimePoint now) -> void
 {
     std::erase_if(departures_, [&](const auto &entry) { return now - entry.second.at > settings_.departureMemory; });
-    const auto found = endpoints_.find(name);
-    const auto isCurrent = found != endpoints_.end() && found->second.member.instanceId == instanceId;
-    departures_[name] = {instanceId, isCurrent ? found->second.member.instanceStartMs : 0, now};
+    departures_[name] = {instanceId, instanceStartMs, now};
 }
 
 auto Placement::applyReport(const NodeReport &report) -> void
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -83,9 +83,13 @@
      * instance accepts requests. Another start of the instance is not excluded.
      * @param name Name of its VM.
      * @param instanceId Id of the instance.
+     * @param instanceStartMs Start of the instance when the request was sent to it, in Unix milliseconds; zero, which
+     * matches every start, if unknown.
      * @param now Current time.
      */
-    auto markLeaving(const std::string &name, const std::string &instanceId, TimePoint now) -> void;
+    auto
+    markLeaving(const std::string &name, const std::string &instanceId, std::uint64_t instanceStartMs, TimePoint now)
+        -> void;
 
     /**
      * @brief Updates load and state of an instance from its node's report.
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -212,6 +212,7 @@
         return;
     }
     hop.instanceId = record_.report().id;
+    pending.instanceStartMs = record_.report().startTimeMs;
     ++startedSinceLog_;
     context_.dialect.addForwardingFields(hop.request, hop, hop.deadline - pending.startedAt);
     context_.learner.runStarted(hop.route, hop.deadline);
@@ -252,8 +253,7 @@
     context_.counters.observe("instance.run_time", runTime);
     recordRunEnd(pending_.at(requestId));
     updateBreaker(result);
-    const auto isCurrent = pending_.at(requestId).request.instanceId == record_.report().id;
-    const auto isLeaving = isCurrent && result.answer && updateCondition(*result.answer);
+    const auto isLeaving = result.answer && isSentToLatestStart(requestId) && updateCondition(*result.answer);
     auto reply = toReply(std::move(result));
     constexpr unsigned firstFailure = 500;
     const auto hasSucceeded = reply.outcome == mesh::HopOutcome::Answered && reply.answer.status < firstFailure;
@@ -265,6 +265,13 @@
     advance();
 }
 
+auto LocalInstance::isSentToLatestStart(const std::uint64_t requestId) const -> bool
+{
+    const auto &pending = pending_.at(requestId);
+    const auto &latest = record_.report();
+    return pending.request.instanceId == latest.id && pending.instanceStartMs == latest.startTimeMs;
+}
+
 auto LocalInstance::updateCondition(const mesh::Answer &answer) -> bool
 {
     if (context_.dialect.readOutcome(answer).wrongInstance) {
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -122,12 +122,14 @@
         TimePoint submittedAt;
         TimePoint startedAt;
         std::uint64_t poolRequestId{}; /*!< Id in the connection pool; zero while it is queued. */
+        std::uint64_t instanceStartMs{}; /*!< Start of the instance that it was sent to. */
         event::TimerId deadlineTimer{};
     };
 
     auto run(std::uint64_t requestId) -> void;
     auto refuseQueued() -> void;
     auto handleResult(std::uint64_t requestId, HttpConnection::Result result) -> void;
+    [[nodiscard]] auto isSentToLatestStart(std::uint64_t requestId) const -> bool;
     /*! @brief Applies the condition that an answer states; returns whether the instance is leaving. */
     auto updateCondition(const mesh::Answer &answer) -> bool;
     auto logRateLimit() -> void;
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -242,6 +242,7 @@
     attempt.node = member->name;
     attempt.tried.push_back(member->name);
     attempt.hop.instanceId = member->instanceId;
+    attempt.instanceStartMs = member->instanceStartMs;
     attempt.hop.waitLimit = std::max(attempt.startBy - now, Duration{internal::minQueueWait});
     context_.placement.started(attempt.node);
     attempt.exchange = hooks_.send(attempt.node, attempt.hop, [this, requestId](mesh::HopReply reply) {
@@ -286,7 +287,8 @@
     std::string error;
     const auto condition = context_.dialect.readCondition(answer, error);
     if (condition && condition->isLeaving) {
-        context_.placement.markLeaving(attempt.node, attempt.hop.instanceId, context_.loop.now());
+        context_.placement.markLeaving(
+            attempt.node, attempt.hop.instanceId, attempt.instanceStartMs, context_.loop.now());
     }
 }
 
--- a/src/jasminelatch/sidecar/request_router.hpp
+++ b/src/jasminelatch/sidecar/request_router.hpp
@@ -113,6 +113,7 @@
         std::uint32_t instancesReached{}; /*!< Number of instances that received it. */
         bool mayHaveRun{}; /*!< Whether an instance may have run it. */
         std::string node; /*!< Node that holds it now; empty between two sends. */
+        std::uint64_t instanceStartMs{}; /*!< Start of the instance beside that node, as far as known here. */
         std::uint64_t exchange{};
         mesh::HopReply lastReply;
         event::TimerId timer{};
--- a/test/jasminelatch/mesh/placement.cpp
+++ b/test/jasminelatch/mesh/placement.cpp
@@ -153,7 +153,7 @@
 TEST(Placement, AnInstanceThatSaidThatItIsLeavingIsNotSelectedThoughItsRestartedNodeOffersIt)
 {
     auto placement = localAndRemote();
-    placement.markLeaving("local", "i-local", start);
+    placement.markLeaving("local", "i-local", 0, start);
     EXPECT_EQ(chosen(placement, 50)["remote"], 50);
     EXPECT_EQ(placement.capacity("vistas").limit, 34.0);
     // Its node restarts and has forgotten the departure.
@@ -176,7 +176,7 @@
     auto first = member("local");
     first.instanceStartMs = 1700;
     placement.setMember(first, start);
-    placement.markLeaving("local", "i-local", start);
+    placement.markLeaving("local", "i-local", 1700, start);
     EXPECT_EQ(placement.choose("vistas", {}, start), nullptr);
     first.instanceStartMs = 1800;
     placement.setMember(first, start + 1s);
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -207,6 +207,23 @@
     EXPECT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").status == 200; }, 1s)) << "another start is used";
 }
 
+TEST_F(NodeTest, ALateAnswerOfALeavingInstanceDoesNotExcludeItsNextStart)
+{
+    back.instance.answersAtOnce = false;
+    const auto before = back.instance.requests.size();
+    RawClient client{loopback, front.settings.callers};
+    client.stream.write("GET /m/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: x\r\nAuthorization: Bearer k1\r\n\r\n");
+    ASSERT_TRUE(loopback.runUntil([&] { return back.instance.requests.size() > before; }));
+    EXPECT_EQ(sendInstanceReport(loopback, back, "ready", 1, 1800).status, 200U);
+    loopback.runFor(300ms);
+    back.instance.extraFields = {{"Server-Leaving", "1"}, {"Server-Limit", "0"}};
+    back.instance.answer(before);
+    EXPECT_TRUE(loopback.runUntil([&] { return client.received.find("from i-back") != std::string::npos; }, 200ms));
+    back.instance.extraFields.clear();
+    back.instance.answersAtOnce = true;
+    EXPECT_EQ(fetch("/m/1", "k1").status, 200U);
+}
+
 TEST_F(NodeTest, ALateReportDoesNotBringADepartedInstanceBackAfterItsNodeRestarts)
 {
     EXPECT_EQ(report(back, "draining", 2).status, 200U);
