--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -78,10 +78,11 @@
 {
     const mesh::Request request{"GET", path, {{"Host", event::toText(address_)}}, {}};
     pool_.send(request, true, [this, found = std::move(found)](const HttpConnection::Result &result) {
-        const auto report = result.answer ? context_.dialect.readHealth(*result.answer) : std::nullopt;
-        if (report && updateCondition(*result.answer)) {
+        if (result.answer && updateCondition(*result.answer)) {
+            markLeaving();
             return;
         }
+        const auto report = result.answer ? context_.dialect.readHealth(*result.answer) : std::nullopt;
         context_.log.write("instance_asked", {{"healthy", report.has_value()}, {"error", result.error}});
         if (report) {
             found(*report);
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -224,6 +224,19 @@
     EXPECT_EQ(fetch("/m/1", "k1").status, 200U);
 }
 
+TEST_F(NodeTest, AStartingNodeLearnsFromAFailedHealthCheckThatItsInstanceIsLeaving)
+{
+    TestNode late{loopback, storeAt, "late", "orders"};
+    late.instance.status = 503;
+    late.instance.extraFields = {{"Server-Leaving", "1"}};
+    EXPECT_EQ(report(late, "ready", 9).status, 200U);
+    ASSERT_TRUE(loopback.runUntil([&] { return get(late.settings.ready, "/v1/ready").status == 200; }));
+    EXPECT_EQ(report(back, "draining", 2).status, 200U);
+    loopback.runFor(300ms);
+    EXPECT_EQ(fetch("/m/1", "k1").status, 503U);
+    EXPECT_LE(late.instance.requests.size(), 1U) << "only the health check reaches it";
+}
+
 TEST_F(NodeTest, ALateReportDoesNotBringADepartedInstanceBackAfterItsNodeRestarts)
 {
     EXPECT_EQ(report(back, "draining", 2).status, 200U);
--- a/test/jasminelatch/sidecar/test_node.hpp
+++ b/test/jasminelatch/sidecar/test_node.hpp
@@ -78,8 +78,10 @@
     auto answer(const std::size_t index) -> void
     {
         const auto *attempt = mesh::findField(requests[index].fields, "Attempt-Id");
-        mesh::Answer answer{
-            200, {}, {{"Response-Seal", "seal-" + id}, {"Instance-Id", id}, {"Instance-Load", "0,0,20"}}, "from " + id};
+        mesh::Answer answer{status,
+                            {},
+                            {{"Response-Seal", "seal-" + id}, {"Instance-Id", id}, {"Instance-Load", "0,0,20"}},
+                            "from " + id};
         answer.fields.insert(answer.fields.end(), extraFields.begin(), extraFields.end());
         if (attempt != nullptr) {
             answer.fields.push_back({"Attempt-Id", *attempt});
@@ -92,6 +94,7 @@
     std::vector<mesh::Request> requests;
     std::vector<HttpServer::Respond> responders;
     std::vector<mesh::Field> extraFields; /*!< Added to every answer. */
+    unsigned status{200}; /*!< Of every answer. */
     int cancelled{};
     bool answersAtOnce{true};
     HttpServer server;
