A departure stated to a request that was sent before the instance's start was known counts

A node that knows its instance from the health check alone does not know its start; once the first report told it, answers to requests sent before were taken for those of another start, and the departure in them was ignored. AnAnswerToARequestSentBeforeTheFirstReportStatesThatTheInstanceIsLeaving failed before: the next request of that node reached the instance.

An unknown start matches any, as isSameStart has it; Placement had written the same comparison by hand and calls it too.

--- a/src/jasminelatch/mesh/instance_record.cpp
+++ b/src/jasminelatch/mesh/instance_record.cpp
@@ -4,10 +4,14 @@
 
 namespace jasminelatch::mesh {
 
+auto isSameStart(const std::uint64_t left, const std::uint64_t right) -> bool
+{
+    return left == right || left == 0 || right == 0;
+}
+
 auto isSameStart(const InstanceReport &left, const InstanceReport &right) -> bool
 {
-    return left.id == right.id
-        && (left.startTimeMs == right.startTimeMs || left.startTimeMs == 0 || right.startTimeMs == 0);
+    return left.id == right.id && isSameStart(left.startTimeMs, right.startTimeMs);
 }
 
 auto InstanceRecord::apply(const InstanceReport &report) -> bool
--- a/src/jasminelatch/mesh/instance_record.hpp
+++ b/src/jasminelatch/mesh/instance_record.hpp
@@ -26,6 +26,14 @@
     std::uint64_t startTimeMs{}; /*!< Process start in Unix milliseconds; zero if not reported. */
 };
 
+/**
+ * @brief Tells whether two start times of one instance may be the same; zero is unknown and matches any.
+ * @param left First start in Unix milliseconds.
+ * @param right Second start in Unix milliseconds.
+ * @return Whether they do not differ.
+ */
+[[nodiscard]] auto isSameStart(std::uint64_t left, std::uint64_t right) -> bool;
+
 /**
  * @brief Tells whether two reports come from the same process start; an unknown start time matches any start of the id.
  * @param left First report.
--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -1,5 +1,7 @@
 #include "placement.hpp"
 
+#include "instance_record.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -148,12 +150,9 @@
 {
     const auto &member = endpoint.member;
     const auto found = departures_.find(member.name);
-    if (found == departures_.end() || found->second.instanceId != member.instanceId) {
-        return member.accepting;
-    }
-    const auto departed = found->second.instanceStartMs;
-    const auto isOtherStart = departed != 0 && member.instanceStartMs != 0 && departed != member.instanceStartMs;
-    return member.accepting && isOtherStart;
+    const auto hasDeparted = found != departures_.end() && found->second.instanceId == member.instanceId
+                          && isSameStart(found->second.instanceStartMs, member.instanceStartMs);
+    return member.accepting && !hasDeparted;
 }
 
 auto Placement::meanRunTime(const std::string &service) const -> Duration
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -270,7 +270,7 @@
 {
     const auto &pending = pending_.at(requestId);
     const auto &latest = record_.report();
-    return pending.request.instanceId == latest.id && pending.instanceStartMs == latest.startTimeMs;
+    return pending.request.instanceId == latest.id && mesh::isSameStart(pending.instanceStartMs, latest.startTimeMs);
 }
 
 auto LocalInstance::updateCondition(const mesh::Answer &answer) -> bool
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -224,6 +224,27 @@
     EXPECT_EQ(fetch("/m/1", "k1").status, 200U);
 }
 
+TEST_F(NodeTest, AnAnswerToARequestSentBeforeTheFirstReportStatesThatTheInstanceIsLeaving)
+{
+    TestNode late{loopback, storeAt, "late", "orders"};
+    EXPECT_EQ(report(back, "draining", 2).status, 200U);
+    // The health check alone has shown the instance, and its start is not known yet.
+    ASSERT_TRUE(loopback.runUntil([&] { return fetch("/m/1", "k1").body == "from i-late"; }, 2s));
+    late.instance.answersAtOnce = false;
+    const auto before = late.instance.requests.size();
+    RawClient client{loopback, front.settings.callers};
+    client.stream.write("GET /m/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: x\r\nAuthorization: Bearer k1\r\n\r\n");
+    ASSERT_TRUE(loopback.runUntil([&] { return late.instance.requests.size() > before; }));
+    EXPECT_EQ(report(late, "ready", 9).status, 200U);
+    late.instance.extraFields = {{"Server-Leaving", "1"}};
+    late.instance.answer(before);
+    EXPECT_TRUE(loopback.runUntil([&] { return client.received.find("from i-late") != std::string::npos; }, 200ms));
+    late.instance.answersAtOnce = true;
+    EXPECT_EQ(fetchAt(late, "/m/1", "k1").status, 503U)
+        << "the node beside the instance has not passed the answer on to a client";
+    EXPECT_EQ(late.instance.requests.size(), before + 1);
+}
+
 TEST_F(NodeTest, AStartingNodeLearnsFromAFailedHealthCheckThatItsInstanceIsLeaving)
 {
     TestNode late{loopback, storeAt, "late", "orders"};
