RegistryClient: one piece of code replaces a lost lease

A restoration of the store repeated what a renewal that finds no lease does, and cancelled a timer that does nothing without a lease.

--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -503,11 +503,7 @@
         listAll({});
     }
     // The id of the lost lease may be granted to another node.
-    lease_ = 0;
-    context_.loop.cancel(renewTimer_);
-    renewTimer_ = 0;
-    writtenRecord_.clear();
-    writeRecord();
+    replaceLease();
 }
 
 auto RegistryClient::confirm(const TimePoint sentAt) -> void
@@ -591,14 +587,19 @@
 {
     if (internal::statusOf(result) == internal::statusNotFound) {
         context_.log.write("lease_lost", {{"lease", lease_}});
-        lease_ = 0;
-        writtenRecord_.clear();
-        writeRecord();
+        replaceLease();
         return;
     }
     scheduleRenewal();
 }
 
+auto RegistryClient::replaceLease() -> void
+{
+    lease_ = 0;
+    writtenRecord_.clear();
+    writeRecord();
+}
+
 auto RegistryClient::writeRecord() -> void
 {
     if (!ownRecord_ || isWritingRecord_ || isLeaving_) {
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -197,6 +197,8 @@
     auto scheduleRenewal() -> void;
     auto renew() -> void;
     auto handleRenewal(const HttpConnection::Result &result) -> void;
+    /*! @brief Writes the record again under a new lease. */
+    auto replaceLease() -> void;
     auto writeRecord() -> void;
     auto handleRecordWrite(const HttpConnection::Result &result, const std::string &written, std::uint64_t lease)
         -> void;
