Log the fingerprint of a request that was lost or given up

Attempts of one request, by clients and by retries between instances, could not be told from different requests: each attempt has its own id. The fingerprint (account, method, host, target, body) travels with the request between nodes.

--- a/src/jasminelatch/mesh/hop.hpp
+++ b/src/jasminelatch/mesh/hop.hpp
@@ -2,6 +2,7 @@
 #define JASMINELATCH_MESH_HOP_HPP
 
 #include "http.hpp"
+#include "request_fingerprint.hpp"
 
 #include <jasminelatch/core/clock.hpp>
 
@@ -26,6 +27,7 @@
     std::string route; /*!< Name of the request's route; requests of one route cost about the same. */
     std::string caller; /*!< Service of the VM that sent the request. */
     std::string account; /*!< Client account; empty for routes without authentication. */
+    Fingerprint fingerprint{}; /*!< Identifies the request across attempts; zero from earlier builds. */
     std::uint32_t rank{}; /*!< Priority rank in queues; zero is the highest. */
     bool idempotent{}; /*!< Whether the request may run more than once. */
     TimePoint deadline; /*!< Time after which the caller no longer waits; sent as the time left. */
--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -96,7 +96,8 @@
                          request.waitLimit.count(),
                          request.request.method,
                          request.request.target,
-                         encodeFields(request.request.fields)}),
+                         encodeFields(request.request.fields),
+                         request.fingerprint}),
             request.request.body};
 }
 
@@ -237,6 +238,9 @@
     request.waitLimit = Duration{json.at(11).get<Duration::rep>()};
     request.request = {
         json.at(12).get<std::string>(), json.at(13).get<std::string>(), decodeFields(json.at(14)), std::move(body)};
+    // Earlier builds send no fingerprint.
+    constexpr std::size_t sizeWithFingerprint = 16;
+    request.fingerprint = json.size() >= sizeWithFingerprint ? json.at(15).get<Fingerprint>() : Fingerprint{};
     return message;
 }
 
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -15,6 +15,9 @@
 /*! @brief Interval between log lines while the instance limits its rate. */
 constexpr Duration rateLimitLogInterval = std::chrono::seconds{1};
 
+/*! @brief Maximum length of a request target in a log line. */
+constexpr std::size_t maxLoggedTarget = 100;
+
 /*! @brief Prefix of `HttpConnection` errors for responses that arrived but could not be parsed. */
 constexpr std::string_view malformedPrefix = "malformed";
 
@@ -379,6 +382,8 @@
         context_.log.write("instance_refused",
                            {{"id", request.attemptId},
                             {"route", request.route},
+                            {"fingerprint", mesh::toText(request.fingerprint)},
+                            {"target", request.request.target.substr(0, internal::maxLoggedTarget)},
                             {"rank", request.rank},
                             {"reason", mesh::toText(reply.reason)},
                             {"outcome", static_cast<int>(reply.outcome)},
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -161,6 +161,7 @@
     hop.attemptId = call.attemptId;
     hop.route = route->name;
     hop.caller = ownService_;
+    hop.fingerprint = mesh::fingerprintOf(request, account == nullptr ? std::string_view{} : account->name);
     hop.idempotent = route->idempotent;
     hop.deadline = now + (call.timeLeft ? std::min(*call.timeLeft, route->timeout) : route->timeout);
     if (end_ && hop.deadline + internal::endMargin > *end_) {
@@ -324,6 +325,7 @@
                         {"route", attempt.hop.route},
                         {"service", attempt.hop.service},
                         {"account", attempt.hop.account},
+                        {"fingerprint", mesh::toText(attempt.hop.fingerprint)},
                         {"reason", reason},
                         {"status", status},
                         {"tried", attempt.tried},
