--- a/src/jasminelatch/event/stream.cpp
+++ b/src/jasminelatch/event/stream.cpp
@@ -277,4 +277,10 @@
     return impl_->isOpen();
 }
 
+auto isRefused(const std::string_view reason) -> bool
+{
+    static const auto refused = boost::system::error_code{asio::error::connection_refused}.message();
+    return reason == refused;
+}
+
 } // namespace jasminelatch::event
--- a/src/jasminelatch/event/stream.hpp
+++ b/src/jasminelatch/event/stream.hpp
@@ -86,6 +86,12 @@
     std::shared_ptr<Impl> impl_; /*!< Shared with pending asynchronous operations. */
 };
 
+/**
+ * @brief Tells whether a connection failed because no process listens at its address.
+ * @param reason Reason that `Stream::Hooks::closed` was called with.
+ */
+[[nodiscard]] auto isRefused(std::string_view reason) -> bool;
+
 } // namespace jasminelatch::event
 
 #endif
--- /dev/null
+++ b/src/jasminelatch/mesh/crash_tracker.cpp
@@ -0,0 +1,152 @@
+#include "crash_tracker.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace jasminelatch::mesh {
+
+CrashTracker::CrashTracker(Settings settings)
+    : settings_{settings}
+{
+}
+
+auto CrashTracker::recordCrash(const CrashId crash, const std::span<const Fingerprint> running, const TimePoint now)
+    -> void
+{
+    for (const auto fingerprint : running) {
+        merge({fingerprint, {crash}, {}, Duration::zero()}, now);
+    }
+}
+
+auto CrashTracker::recordSurvival(const Fingerprint fingerprint) -> void
+{
+    const auto found = records_.find(fingerprint);
+    if (found == records_.end() || found->second.uncleared == 0) {
+        return;
+    }
+    for (auto &[crash, isCleared] : found->second.crashes) {
+        isCleared = true;
+    }
+    noteChange(found->second);
+}
+
+auto CrashTracker::merge(const CrashRecord &record, const TimePoint now) -> void
+{
+    if (record.fingerprint == 0 || record.age < Duration::zero() || record.age > settings_.memory
+        || (record.crashes.empty() && record.survived.empty())) {
+        return;
+    }
+    auto &known = records_[record.fingerprint];
+    auto isNewCrash = false;
+    for (const auto crash : record.crashes) {
+        isNewCrash = known.crashes.try_emplace(crash, false).second || isNewCrash;
+        running_[crash].insert(record.fingerprint);
+    }
+    auto hasChanged = isNewCrash;
+    for (const auto crash : record.survived) {
+        const auto [entry, isNew] = known.crashes.try_emplace(crash, true);
+        hasChanged = isNew || !entry->second || hasChanged;
+        entry->second = true;
+        running_[crash].insert(record.fingerprint);
+    }
+    if (isNewCrash) {
+        known.lastCrashAt = std::max(known.lastCrashAt, now - record.age);
+    }
+    if (hasChanged) {
+        noteChange(known);
+        forgetExcess();
+    }
+}
+
+auto CrashTracker::suspicion(const Fingerprint fingerprint, const TimePoint now) const -> CrashSuspicion
+{
+    const auto found = records_.find(fingerprint);
+    if (found == records_.end() || now - found->second.lastCrashAt > settings_.memory) {
+        return {};
+    }
+    CrashSuspicion suspicion{unexplainedCrashes(found->second), Duration::zero()};
+    if (suspicion.crashes >= settings_.crashesBeforeQuarantine) {
+        constexpr std::uint32_t maxDoublings = 16;
+        const auto doublings = std::min(suspicion.crashes - settings_.crashesBeforeQuarantine, maxDoublings);
+        const auto quarantine = std::min<Duration>(settings_.quarantine * (1U << doublings), settings_.maxQuarantine);
+        suspicion.quarantine = std::max<Duration>(found->second.lastCrashAt + quarantine - now, Duration::zero());
+    }
+    return suspicion;
+}
+
+auto CrashTracker::crashesOf(const Fingerprint fingerprint) const -> std::vector<CrashId>
+{
+    std::vector<CrashId> crashes;
+    if (const auto found = records_.find(fingerprint); found != records_.end()) {
+        for (const auto &[crash, isCleared] : found->second.crashes) {
+            if (!isCleared) {
+                crashes.push_back(crash);
+            }
+        }
+    }
+    return crashes;
+}
+
+auto CrashTracker::recordsSince(const std::uint64_t change, const TimePoint now) const -> std::vector<CrashRecord>
+{
+    std::vector<CrashRecord> changed;
+    for (const auto &[fingerprint, record] : records_) {
+        if (record.change <= change) {
+            continue;
+        }
+        auto &entry = changed.emplace_back(CrashRecord{fingerprint, {}, {}, now - record.lastCrashAt});
+        for (const auto &[crash, isCleared] : record.crashes) {
+            (isCleared ? entry.survived : entry.crashes).push_back(crash);
+        }
+    }
+    return changed;
+}
+
+auto CrashTracker::lastChange() const noexcept -> std::uint64_t
+{
+    return lastChange_;
+}
+
+auto CrashTracker::suspectCount() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(records_, [](const auto &entry) { return entry.second.uncleared > 0; }));
+}
+
+auto CrashTracker::noteChange(Record &record) -> void
+{
+    record.change = ++lastChange_;
+    record.uncleared = static_cast<std::uint32_t>(
+        std::ranges::count_if(record.crashes, [](const auto &entry) { return !entry.second; }));
+}
+
+auto CrashTracker::forgetExcess() -> void
+{
+    while (records_.size() > settings_.maxRecords) {
+        const auto least = std::ranges::min_element(records_, {}, [](const auto &entry) {
+            return std::tuple{entry.second.uncleared, entry.second.lastCrashAt};
+        });
+        for (const auto &[crash, isCleared] : least->second.crashes) {
+            const auto running = running_.find(crash);
+            running->second.erase(least->first);
+            if (running->second.empty()) {
+                running_.erase(running);
+            }
+        }
+        records_.erase(least);
+    }
+}
+
+auto CrashTracker::unexplainedCrashes(const Record &record) const -> std::uint32_t
+{
+    const auto isExplained = [&](const CrashId crash) {
+        return std::ranges::any_of(running_.at(crash), [&](const Fingerprint other) {
+            const auto &known = records_.at(other);
+            return known.uncleared > record.uncleared && !known.crashes.at(crash);
+        });
+    };
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+        record.crashes, [&](const auto &entry) { return !entry.second && !isExplained(entry.first); }));
+}
+
+} // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/hop.hpp
+++ b/src/jasminelatch/mesh/hop.hpp
@@ -1,6 +1,7 @@
 #ifndef JASMINELATCH_MESH_HOP_HPP
 #define JASMINELATCH_MESH_HOP_HPP
 
+#include "crash_tracker.hpp"
 #include "http.hpp"
 #include "request_fingerprint.hpp"
 
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jasminelatch::mesh {
 
@@ -28,6 +30,7 @@
     std::string caller; /*!< Service of the VM that sent the request. */
     std::string account; /*!< Client account; empty for routes without authentication. */
     Fingerprint fingerprint{}; /*!< Identifies the request across attempts; zero from earlier builds. */
+    std::vector<CrashId> crashes; /*!< Crashes in which it was running, as far as the sender knows. */
     std::uint32_t rank{}; /*!< Priority rank in queues; zero is the highest. */
     bool idempotent{}; /*!< Whether the request may run more than once. */
     TimePoint deadline; /*!< Time after which the caller no longer waits; sent as the time left. */
@@ -75,6 +78,7 @@
     Duration retryAfter{}; /*!< Time until capacity is expected, for a request that has not run. */
     InstanceLoad load; /*!< Load when the reply was sent; a limit of zero means unknown. */
     Answer answer; /*!< Response of the instance. */
+    CrashId crash{}; /*!< Crash of the instance that ended the request; zero for none. */
 };
 
 /**
--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -71,12 +71,12 @@
 auto InstanceGate::offer(Item item, const TimePoint now) -> Decision
 {
     const auto free = running_.size() < limit();
-    if (free && queue_.empty()) {
+    if (free && queue_.size() == queuedSuspects_) {
         if (!canFinish(item, now)) {
             return {Decision::Kind::Refuse, settings_.minRetryAfter};
         }
-        if (rateLimit_.take(now)) {
-            running_.emplace(item.id, std::move(item.route));
+        if (maySuspectRun(item.crashes) && rateLimit_.take(now)) {
+            start(std::move(item));
             return {Decision::Kind::Run, {}};
         }
     }
@@ -86,6 +86,7 @@
         return {Decision::Kind::Refuse, retryAfter(now)};
     }
     queueKeys_.emplace(item.id, key);
+    queuedSuspects_ += item.crashes > 0 ? 1 : 0;
     queue_.emplace(key, std::move(item));
     return {Decision::Kind::Wait, {}};
 }
@@ -93,8 +94,7 @@
 auto InstanceGate::finish(const std::uint64_t id, const Duration runTime) -> void
 {
     if (const auto waiting = queueKeys_.find(id); waiting != queueKeys_.end()) {
-        queue_.erase(waiting->second);
-        queueKeys_.erase(waiting);
+        removeQueued(queue_.find(waiting->second));
         return;
     }
     const auto found = running_.find(id);
@@ -102,11 +102,36 @@
         return;
     }
     if (runTime > Duration::zero()) {
-        recordRunTime(found->second, runTime);
+        recordRunTime(found->second.route, runTime);
     }
+    runningSuspects_ -= found->second.crashes > 0 ? 1 : 0;
+    runningAlone_ -= found->second.crashes > 1 ? 1 : 0;
     running_.erase(found);
 }
 
+auto InstanceGate::maySuspectRun(const std::uint32_t crashes) const -> bool
+{
+    if (crashes == 0) {
+        return true;
+    }
+    const auto most = std::max(static_cast<std::uint32_t>(settings_.suspectSlotFraction * slots_), 1U);
+    return crashes == 1 ? runningAlone_ == 0 && runningSuspects_ < most : runningSuspects_ == 0;
+}
+
+auto InstanceGate::start(Item item) -> void
+{
+    runningSuspects_ += item.crashes > 0 ? 1 : 0;
+    runningAlone_ += item.crashes > 1 ? 1 : 0;
+    running_.emplace(item.id, Run{std::move(item.route), item.crashes});
+}
+
+auto InstanceGate::removeQueued(const std::map<QueueKey, Item>::iterator item) -> std::map<QueueKey, Item>::iterator
+{
+    queuedSuspects_ -= item->second.crashes > 0 ? 1 : 0;
+    queueKeys_.erase(item->second.id);
+    return queue_.erase(item);
+}
+
 auto InstanceGate::recordRunTime(const std::string &route, const Duration runTime) -> void
 {
     const auto weight = settings_.runTimeEwmaWeight;
@@ -125,20 +150,19 @@
 {
     Dispatch dispatched;
     for (auto next = queue_.begin(); next != queue_.end();) {
-        auto &item = next->second;
+        const auto &item = next->second;
         const auto expired = !canFinish(item, now);
-        if (!expired && (running_.size() >= limit() || !rateLimit_.take(now))) {
+        if (!expired && (running_.size() >= limit() || !maySuspectRun(item.crashes) || !rateLimit_.take(now))) {
             ++next;
             continue;
         }
-        queueKeys_.erase(item.id);
         if (expired) {
             dispatched.refused.push_back({item.id, retryAfter(now)});
         } else {
             dispatched.run.push_back(item.id);
-            running_.emplace(item.id, std::move(item.route));
+            start(item);
         }
-        next = queue_.erase(next);
+        next = removeQueued(next);
     }
     return dispatched;
 }
@@ -151,13 +175,16 @@
     }
     queue_.clear();
     queueKeys_.clear();
+    queuedSuspects_ = 0;
     return ids;
 }
 
 auto InstanceGate::load(const TimePoint now) const -> InstanceLoad
 {
-    InstanceLoad load{
-        static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(queue_.size()), limit(), runTime()};
+    InstanceLoad load{static_cast<std::uint32_t>(running_.size()),
+                      static_cast<std::uint32_t>(queue_.size() - queuedSuspects_),
+                      limit(),
+                      runTime()};
     if (const auto rate = rateLimit_.limit(); rate && load.limit > 0) {
         const auto usual = load.runTime == Duration::zero() ? settings_.defaultRunTime : load.runTime;
         const auto concurrency = *rate * std::chrono::duration<double>(usual).count();
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -23,6 +23,9 @@
  * Load pattern: more requests arrive than the instance has slots for, or than it states that it accepts. A bounded
  * number runs; the others wait by rank and arrival. A request that cannot finish in time is refused before it starts,
  * as soon as that is known.
+ *
+ * Of the requests that were running in a crashed instance only a few run at once, and one that was in several crashes
+ * runs without any other of them, so that the next crash tells which one causes it.
  */
 class InstanceGate
 {
@@ -35,6 +38,7 @@
         Duration defaultRunTime{std::chrono::milliseconds{50}}; /*!< Mean run time before the first run. */
         Duration minRetryAfter{std::chrono::milliseconds{100}}; /*!< Lower bound of the retry delay after a refusal. */
         InstanceRateLimit::Settings rateLimit; /*!< Limit on requests per second. */
+        double suspectSlotFraction{0.125}; /*!< Fraction of the slots for requests that may have caused a crash. */
         std::size_t maxQueued{2000}; /*!< Maximum queue length; bounds the memory of queued requests. */
     };
 
@@ -45,6 +49,7 @@
         std::string route; /*!< Name of the route; requests of one route take about the same time. */
         TimePoint deadline; /*!< Time after which the answer is useless. */
         TimePoint startBy; /*!< Latest time at which the request may start. */
+        std::uint32_t crashes{}; /*!< Crashes of instances that the request may have caused. */
     };
 
     /*! @brief Result of offering a request. */
@@ -150,6 +155,12 @@
     [[nodiscard]] auto load(TimePoint now) const -> InstanceLoad;
 
 private:
+    /*! @brief Request that occupies a slot. */
+    struct Run {
+        std::string route;
+        std::uint32_t crashes{};
+    };
+
     /*! @brief Order of the queue: rank, then arrival. */
     using QueueKey = std::tuple<std::uint32_t, std::uint64_t>;
 
@@ -158,6 +169,9 @@
     [[nodiscard]] auto retryAfter(TimePoint now) const -> Duration;
     [[nodiscard]] auto runTime() const -> Duration;
     [[nodiscard]] auto canFinish(const Item &item, TimePoint start) const -> bool;
+    [[nodiscard]] auto maySuspectRun(std::uint32_t crashes) const -> bool;
+    auto start(Item item) -> void;
+    auto removeQueued(std::map<QueueKey, Item>::iterator item) -> std::map<QueueKey, Item>::iterator;
     auto recordRunTime(const std::string &route, Duration runTime) -> void;
 
     Settings settings_;
@@ -166,7 +180,10 @@
     std::uint64_t arrivals_{};
     std::map<QueueKey, Item> queue_;
     std::unordered_map<std::uint64_t, QueueKey> queueKeys_;
-    std::unordered_map<std::uint64_t, std::string> running_; /*!< Route by id. */
+    std::unordered_map<std::uint64_t, Run> running_;
+    std::size_t queuedSuspects_{}; /*!< Queued requests that may have caused a crash. */
+    std::uint32_t runningSuspects_{}; /*!< Runs of requests that may have caused a crash. */
+    std::uint32_t runningAlone_{}; /*!< Those that may have caused several. */
     std::unordered_map<std::string, Duration> runTimes_;
     Duration meanRunTime_{};
     std::unordered_map<std::string, Duration> fleetRunTimes_; /*!< Mean run time at all instances, by route. */
--- a/src/jasminelatch/mesh/node_report.hpp
+++ b/src/jasminelatch/mesh/node_report.hpp
@@ -2,6 +2,7 @@
 #define JASMINELATCH_MESH_NODE_REPORT_HPP
 
 #include "call_learner.hpp"
+#include "crash_tracker.hpp"
 #include "hop.hpp"
 #include "member.hpp"
 
@@ -55,6 +56,7 @@
     std::vector<Member> members; /*!< Membership records that the receiver may lack. */
     std::optional<std::uint64_t>
         configurationVersion; /*!< Version that the sender applies; empty from earlier builds. */
+    std::vector<CrashRecord> crashes; /*!< Requests that were running in crashed instances, as far as changed. */
 };
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -97,7 +97,8 @@
                          request.request.method,
                          request.request.target,
                          encodeFields(request.request.fields),
-                         request.fingerprint}),
+                         request.fingerprint,
+                         request.crashes}),
             request.request.body};
 }
 
@@ -113,7 +114,8 @@
                          encodeLoad(reply.load),
                          reply.answer.status,
                          reply.answer.reason,
-                         encodeFields(reply.answer.fields)}),
+                         encodeFields(reply.answer.fields),
+                         reply.crash}),
             reply.answer.body};
 }
 
@@ -173,6 +175,27 @@
     return instances;
 }
 
+auto encodeCrashes(const std::vector<CrashRecord> &records) -> Json
+{
+    auto json = Json::array();
+    for (const auto &record : records) {
+        json.push_back(Json::array({record.fingerprint, record.crashes, record.survived, record.age.count()}));
+    }
+    return json;
+}
+
+auto decodeCrashes(const Json &json) -> std::vector<CrashRecord>
+{
+    std::vector<CrashRecord> records;
+    for (const auto &row : json) {
+        records.push_back({row.at(0).get<Fingerprint>(),
+                           row.at(1).get<std::vector<CrashId>>(),
+                           row.at(2).get<std::vector<CrashId>>(),
+                           Duration{row.at(3).get<Duration::rep>()}});
+    }
+    return records;
+}
+
 auto encode(const ReportMessage &message, TimePoint) -> Frame
 {
     const auto &report = message.report;
@@ -193,7 +216,8 @@
                          report.configurationRevision,
                          encodeInstances(report.instances),
                          encodeMembers(report.members),
-                         report.configurationVersion.value_or(0)}),
+                         report.configurationVersion.value_or(0),
+                         encodeCrashes(report.crashes)}),
             {}};
 }
 
@@ -238,9 +262,12 @@
     request.waitLimit = Duration{json.at(11).get<Duration::rep>()};
     request.request = {
         json.at(12).get<std::string>(), json.at(13).get<std::string>(), decodeFields(json.at(14)), std::move(body)};
-    // Earlier builds send no fingerprint.
-    constexpr std::size_t sizeWithFingerprint = 16;
-    request.fingerprint = json.size() >= sizeWithFingerprint ? json.at(15).get<Fingerprint>() : Fingerprint{};
+    // Earlier builds send no fingerprint and no crashes.
+    constexpr std::size_t sizeWithCrashes = 17;
+    if (json.size() >= sizeWithCrashes) {
+        request.fingerprint = json.at(15).get<Fingerprint>();
+        request.crashes = json.at(16).get<std::vector<CrashId>>();
+    }
     return message;
 }
 
@@ -254,6 +281,9 @@
     reply.reached = json.at(4).get<bool>();
     reply.retryAfter = Duration{json.at(5).get<Duration::rep>()};
     reply.load = decodeLoad(json.at(6));
+    // Earlier builds send no crash.
+    constexpr std::size_t sizeWithCrash = 11;
+    reply.crash = json.size() >= sizeWithCrash ? json.at(10).get<CrashId>() : CrashId{};
     reply.answer = {
         json.at(7).get<unsigned>(), json.at(8).get<std::string>(), decodeFields(json.at(9)), std::move(body)};
     return message;
@@ -270,8 +300,9 @@
 
 auto decodeReport(const Json &json) -> ReportMessage
 {
-    // Earlier builds send no version of the configuration.
+    // Earlier builds send no version of the configuration and no crashes.
     constexpr std::size_t reportSizeBeforeVersion = 17;
+    constexpr std::size_t reportSizeBeforeCrashes = 18;
     const auto member = json.at(9).get<std::string>();
     return {{json.at(1).get<std::string>(),
              json.at(2).get<std::uint64_t>(),
@@ -289,7 +320,8 @@
              json.at(14).get<std::uint64_t>(),
              decodeInstances(json.at(15)),
              decodeMembers(json.at(16)),
-             json.size() > reportSizeBeforeVersion ? std::optional{json.at(17).get<std::uint64_t>()} : std::nullopt}};
+             json.size() > reportSizeBeforeVersion ? std::optional{json.at(17).get<std::uint64_t>()} : std::nullopt,
+             json.size() > reportSizeBeforeCrashes ? decodeCrashes(json.at(18)) : std::vector<CrashRecord>{}}};
 }
 
 auto decodeReportAck(const Json &json) -> ReportAck
--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -89,6 +89,44 @@
         const auto any = std::uniform_int_distribution<std::size_t>{0, candidates.size() - 1}(random_);
         return &candidates[any]->member;
     }
+    return fastest(candidates, service, now);
+}
+
+auto Placement::chooseForSuspect(const std::string &service,
+                                 const std::span<const std::string> exclude,
+                                 const TimePoint now) -> const Member *
+{
+    std::vector<const Endpoint *> candidates;
+    std::size_t members{};
+    for (const auto &[name, endpoint] : endpoints_) {
+        if (endpoint.member.service == service) {
+            ++members;
+            if (accepts(endpoint) && endpoint.isReachable && endpoint.ejectedUntil <= now) {
+                candidates.push_back(&endpoint);
+            }
+        }
+    }
+    if (candidates.empty() || (candidates.size() == 1 && members > 1)) {
+        return nullptr;
+    }
+    candidates.resize((candidates.size() + settings_.membersPerTrial - 1) / settings_.membersPerTrial);
+    std::erase_if(candidates, [&](const Endpoint *endpoint) {
+        return std::ranges::find(exclude, endpoint->member.name) != exclude.end();
+    });
+    return candidates.empty() ? nullptr : fastest(candidates, service, now);
+}
+
+auto Placement::markDown(const std::string &name) -> void
+{
+    if (const auto found = endpoints_.find(name); found != endpoints_.end()) {
+        found->second.member.accepting = false;
+    }
+}
+
+auto Placement::fastest(const std::span<const Endpoint *const> candidates,
+                        const std::string &service,
+                        const TimePoint now) -> const Member *
+{
     const auto meanTime = meanRunTime(service);
     const Endpoint *best = nullptr;
     auto bestTime = 0.0;
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -44,6 +44,7 @@
                                        may overtake. */
         Duration departureMemory{std::chrono::minutes{10}}; /*!< Time for which an instance that was said to leave is
                                                                  not selected; longer than any drain. */
+        std::size_t membersPerTrial{4}; /*!< One in this many instances gets requests that may crash it. */
         double explorationFraction{0.02}; /*!< Fraction of requests sent to a random instance, so that new and
                                                recovered instances get traffic. */
     };
@@ -113,6 +114,25 @@
     [[nodiscard]] auto choose(const std::string &service, std::span<const std::string> exclude, TimePoint now)
         -> const Member *;
 
+    /**
+     * @brief Selects a member for a request that may crash the instance that runs it.
+     *
+     * All nodes select from the same few members, so that few instances are lost before the request is identified, and
+     * the last instance that is left of a service is spared.
+     * @param service Service that runs the request.
+     * @param exclude Names of members that were already tried.
+     * @param now Current time.
+     * @return The member, or null if none may be put at risk.
+     */
+    [[nodiscard]] auto chooseForSuspect(const std::string &service, std::span<const std::string> exclude, TimePoint now)
+        -> const Member *;
+
+    /**
+     * @brief Excludes an instance that has crashed until its node reports on it.
+     * @param name Name of its VM.
+     */
+    auto markDown(const std::string &name) -> void;
+
     /**
      * @brief Counts a request as in flight.
      * @param name Name of the member that it was sent to.
@@ -156,6 +176,8 @@
     };
 
     [[nodiscard]] auto accepts(const Endpoint &endpoint) const -> bool;
+    [[nodiscard]] auto fastest(std::span<const Endpoint *const> candidates, const std::string &service, TimePoint now)
+        -> const Member *;
     [[nodiscard]] auto meanRunTime(const std::string &service) const -> Duration;
     [[nodiscard]] auto expectedTime(const Endpoint &endpoint, Duration meanRunTime, TimePoint now) const -> double;
     static auto updateLoad(Endpoint &endpoint, const InstanceLoad &load) -> void;
--- a/src/jasminelatch/sidecar/fleet.cpp
+++ b/src/jasminelatch/sidecar/fleet.cpp
@@ -269,6 +269,7 @@
     isRelay_ = true;
     relay_.clear();
     sentReport_.resetCounts();
+    reportedCrashChange_ = 0;
     aggregator_.begin(nextSession(), session_.countedReport());
     context_.log.write("relay_role", {{"relay", true}, {"peers", peers_.size()}, {"relays", plan_.relays.size()}});
 }
@@ -332,6 +333,8 @@
     changes.isFull = false;
     sentReport_.removeUnchanged(changes);
     aggregator_.addSubtreeStates(changes, false);
+    changes.crashes = context_.crashes.recordsSince(reportedCrashChange_, now);
+    reportedCrashChange_ = context_.crashes.lastChange();
     const auto changesFrame = mesh::encodeFrame(mesh::ReportMessage{std::move(changes)}, now);
     std::string fullFrame;
     const auto fullReport = [&]() -> std::string_view {
@@ -339,6 +342,7 @@
             auto all = report;
             all.profiles = aggregator_.subtreeProfiles();
             aggregator_.addSubtreeStates(all, true);
+            all.crashes = context_.crashes.recordsSince(0, now);
             fullFrame = mesh::encodeFrame(mesh::ReportMessage{std::move(all)}, now);
         }
         return fullFrame;
@@ -365,8 +369,12 @@
     }
     report.configurationRevision = context_.registry.configurationRevision();
     report.configurationVersion = context_.registry.configurationVersion();
-    const auto frame = mesh::encodeFrame(mesh::ReportMessage{std::move(report)}, context_.loop.now());
-    if (!peer->second.link->sendReport(frame, [&]() -> std::string_view { return frame; })) {
+    const auto now = context_.loop.now();
+    report.crashes = context_.crashes.recordsSince(reportedCrashChange_, now);
+    const auto frame = mesh::encodeFrame(mesh::ReportMessage{std::move(report)}, now);
+    if (peer->second.link->sendReport(frame, [&]() -> std::string_view { return frame; })) {
+        reportedCrashChange_ = context_.crashes.lastChange();
+    } else {
         session_.sendFailed();
     }
 }
@@ -381,6 +389,7 @@
     relay_ = relay;
     relayFailed_ = false;
     session_.begin(nextSession());
+    reportedCrashChange_ = 0;
 }
 
 auto Fleet::broadcastStates() -> void
@@ -392,8 +401,11 @@
     states.name = self_.name;
     states.kind = mesh::ReportKind::Digest;
     aggregator_.addFleetStates(states, false);
-    if (!states.instances.empty() || !states.members.empty()) {
-        hooks_.broadcast(mesh::encodeFrame(mesh::ReportMessage{std::move(states)}, context_.loop.now()));
+    const auto now = context_.loop.now();
+    states.crashes = context_.crashes.recordsSince(broadcastCrashChange_, now);
+    broadcastCrashChange_ = context_.crashes.lastChange();
+    if (!states.instances.empty() || !states.members.empty() || !states.crashes.empty()) {
+        hooks_.broadcast(mesh::encodeFrame(mesh::ReportMessage{std::move(states)}, now));
     }
 }
 
@@ -414,6 +426,7 @@
         relaysSeenAt_[report.name] = now;
     }
     context_.placement.applyReport(report);
+    applyCrashes(report);
     applyStates(report);
     if (!isRelay_) {
         return {};
@@ -430,6 +443,7 @@
     auto digest = aggregator_.digest(report.name, hooks_.ownState());
     if (isNewSession) {
         aggregator_.addFleetStates(digest, true);
+        digest.crashes = context_.crashes.recordsSince(0, now);
     }
     auto frames = mesh::encodeFrame(mesh::ReportMessage{std::move(digest)}, now);
     const auto &registry = context_.registry;
@@ -445,6 +459,7 @@
 
 auto Fleet::handleReportAnswer(const std::string &relay, const mesh::NodeReport &report) -> void
 {
+    applyCrashes(report);
     if (isRelay_ || relay != relay_) {
         return;
     }
@@ -458,6 +473,13 @@
     applyStates(report);
 }
 
+auto Fleet::applyCrashes(const mesh::NodeReport &report) -> void
+{
+    for (const auto &record : report.crashes) {
+        context_.crashes.merge(record, context_.loop.now());
+    }
+}
+
 auto Fleet::applyStates(const mesh::NodeReport &report) -> void
 {
     for (const auto &member : report.members) {
--- a/src/jasminelatch/sidecar/fleet.hpp
+++ b/src/jasminelatch/sidecar/fleet.hpp
@@ -6,6 +6,7 @@
 #include "registry_client.hpp"
 
 #include <jasminelatch/event/loop.hpp>
+#include <jasminelatch/mesh/crash_tracker.hpp>
 #include <jasminelatch/mesh/member.hpp>
 #include <jasminelatch/mesh/node_report.hpp>
 #include <jasminelatch/mesh/placement.hpp>
@@ -50,6 +51,7 @@
          * occupy the service's slots, each of which runs one request at a time. */
         mesh::TreeAdmission &admission;
         RegistryClient &registry; /*!< Source of node records and the configuration. */
+        mesh::CrashTracker &crashes; /*!< Requests that may crash instances; nodes share what they know of them. */
     };
 
     /*! @brief Callbacks that supply this node's state and send frames. */
@@ -151,6 +153,7 @@
     auto broadcastStates() -> void;
     auto applyStates(const mesh::NodeReport &report) -> void;
     auto handleReportAnswer(const std::string &relay, const mesh::NodeReport &report) -> void;
+    auto applyCrashes(const mesh::NodeReport &report) -> void;
     [[nodiscard]] auto encodeAnswer(const mesh::NodeReport &report, bool isNewSession) -> std::string;
 
     Context context_;
@@ -167,6 +170,8 @@
 
     std::string relay_; /*!< Relay of the current session; empty without one. */
     bool relayFailed_{}; /*!< Whether the connection to it has failed since the session began. */
+    std::uint64_t reportedCrashChange_{}; /*!< Last change of crash records that relays were sent. */
+    std::uint64_t broadcastCrashChange_{}; /*!< Last one that the nodes reporting here were sent. */
     mesh::ReportDeltaFilter sentReport_; /*!< State sent last to other relays; later reports contain changes only. */
 };
 
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -1,5 +1,8 @@
 #include "local_instance.hpp"
 
+#include <algorithm>
+#include <random>
+#include <span>
 #include <string_view>
 #include <utility>
 
@@ -12,6 +15,19 @@
 /*! @brief `Retry-After` of a request whose instance is unreachable, leaving or another one. */
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds{200};
 
+/*! @brief First status code that reports a failure of the server. */
+constexpr unsigned firstServerError = 500;
+/*! @brief Longest time for which the reply to a lost request is held back until it is known whether the instance has
+ * crashed. */
+constexpr Duration maxLossDelay = std::chrono::milliseconds{20};
+/*! @brief Minimum interval between checks for a crash, as an overloaded instance may reset many connections. */
+constexpr Duration crashCheckInterval = std::chrono::milliseconds{20};
+/*! @brief Interval at which a crashed instance is checked for accepting connections. */
+constexpr Duration availabilityCheckInterval = std::chrono::milliseconds{500};
+/*! @brief Time after which a check's connection fails. */
+constexpr Duration checkTimeout = std::chrono::seconds{1};
+/*! @brief Largest number of requests named in the log line of a crash. */
+constexpr std::size_t maxLoggedSuspects = 20;
 /*! @brief Interval between log lines while the instance limits its rate. */
 constexpr Duration rateLimitLogInterval = std::chrono::seconds{1};
 
@@ -21,16 +37,20 @@
 /*! @brief Prefix of `HttpConnection` errors for responses that arrived but could not be parsed. */
 constexpr std::string_view malformedPrefix = "malformed";
 
+/*! @brief Returns a random id other than zero. */
+auto randomId() -> std::uint64_t
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>{1}(device);
+}
+
 } // namespace internal
 
-LocalInstance::LocalInstance(Context context,
-                             const event::Endpoint &address,
-                             std::string service,
-                             std::function<void()> departed)
+LocalInstance::LocalInstance(Context context, const event::Endpoint &address, std::string service, Hooks hooks)
     : context_{context}
     , address_{address}
     , service_{std::move(service)}
-    , departed_{std::move(departed)}
+    , hooks_{std::move(hooks)}
     , pool_{context.loop, address, {.echoField = context.dialect.echoField, .budget = &context.budget}}
     , gate_{{}}
     , breaker_{{}}
@@ -53,6 +73,7 @@
     if (hasRestarted) {
         pool_.reset();
         breaker_.reset();
+        markUp();
     }
     if (hasRestarted || before.state != latest.state) {
         context_.log.write("instance_state",
@@ -63,16 +84,16 @@
     }
     gate_.setSlots(latest.slots);
     if (!isAccepting()) {
-        refuseQueued();
+        refuseQueued(mesh::HopReason::Leaving);
     }
     advance();
     return true;
 }
 
-auto LocalInstance::refuseQueued() -> void
+auto LocalInstance::refuseQueued(const mesh::HopReason reason) -> void
 {
     for (const auto requestId : gate_.clearQueue()) {
-        complete(requestId, refusal(mesh::HopReason::Leaving, internal::unavailableRetryAfter));
+        complete(requestId, refusal(reason, internal::unavailableRetryAfter));
     }
 }
 
@@ -100,14 +121,14 @@
     }
     record_.markLeaving();
     context_.log.write("instance_leaving", {{"instance", record_.report().id}});
-    refuseQueued();
-    departed_();
+    refuseQueued(mesh::HopReason::Leaving);
+    hooks_.departed();
 }
 
 auto LocalInstance::stopAccepting() -> void
 {
     stopped_ = true;
-    refuseQueued();
+    refuseQueued(mesh::HopReason::Leaving);
 }
 
 auto LocalInstance::isAccepting() const -> bool
@@ -115,12 +136,20 @@
     return record_.isReady() && !stopped_;
 }
 
+auto LocalInstance::isAvailable() const -> bool
+{
+    return isAccepting() && !isDown_;
+}
+
 auto LocalInstance::submit(mesh::HopRequest request, Finished finished) -> std::uint64_t
 {
     const auto requestId = ++lastRequestId_;
     const auto now = context_.loop.now();
     const auto startBy = now + request.waitLimit;
-    const mesh::InstanceGate::Item item{requestId, request.rank, request.route, request.deadline, startBy};
+    context_.crashes.merge({request.fingerprint, request.crashes, {}, Duration::zero()}, now);
+    const auto suspicion = context_.crashes.suspicion(request.fingerprint, now);
+    const mesh::InstanceGate::Item item{
+        requestId, request.rank, request.route, request.deadline, startBy, suspicion.crashes};
     const auto &latest = record_.report();
     const auto isLocal = request.service == service_ && (request.instanceId.empty() || request.instanceId == latest.id);
     const auto timeLeft = request.deadline - now;
@@ -139,6 +168,14 @@
         refuse(mesh::HopReason::Leaving, internal::unavailableRetryAfter);
         return requestId;
     }
+    if (isDown_) {
+        refuse(mesh::HopReason::Unreachable, internal::unavailableRetryAfter);
+        return requestId;
+    }
+    if (suspicion.quarantine > Duration::zero()) {
+        refuse(mesh::HopReason::QueueFull, suspicion.quarantine);
+        return requestId;
+    }
     const auto decision = gate_.offer(item, now);
     if (decision.kind == mesh::InstanceGate::Decision::Kind::Refuse) {
         refuse(mesh::HopReason::QueueFull, decision.retryAfter);
@@ -257,10 +294,20 @@
     context_.counters.observe("instance.run_time", runTime);
     recordRunEnd(pending_.at(requestId));
     updateBreaker(result);
+    if (!result.answer && result.sent && !result.error.starts_with(internal::malformedPrefix)) {
+        handleLoss(requestId, std::move(result));
+        return;
+    }
+    if (!result.sent && event::isRefused(result.error)) {
+        markDown();
+    }
     const auto isLeaving = result.answer && isSentToLatestStart(requestId) && updateCondition(*result.answer);
     auto reply = toReply(std::move(result));
-    constexpr unsigned firstFailure = 500;
-    const auto hasSucceeded = reply.outcome == mesh::HopOutcome::Answered && reply.answer.status < firstFailure;
+    if (reply.outcome == mesh::HopOutcome::Answered && reply.answer.status < internal::firstServerError) {
+        context_.crashes.recordSurvival(pending_.at(requestId).request.fingerprint);
+    }
+    const auto hasSucceeded =
+        reply.outcome == mesh::HopOutcome::Answered && reply.answer.status < internal::firstServerError;
     gate_.finish(requestId, hasSucceeded ? runTime : Duration::zero());
     complete(requestId, std::move(reply));
     if (isLeaving) {
@@ -269,6 +316,160 @@
     advance();
 }
 
+auto LocalInstance::handleLoss(const std::uint64_t requestId, HttpConnection::Result result) -> void
+{
+    auto &pending = pending_.at(requestId);
+    pending.poolRequestId = 0;
+    gate_.finish(requestId, Duration::zero());
+    pending.lostReply = toReply(std::move(result));
+    lost_.push_back(pending.request.fingerprint);
+    if (crash_ != 0) {
+        recordCrash();
+        releaseLost();
+    } else {
+        scheduleCrashCheck();
+    }
+}
+
+auto LocalInstance::scheduleCrashCheck() -> void
+{
+    if (releaseTimer_ == 0) {
+        releaseTimer_ = context_.loop.after(internal::maxLossDelay, [this] {
+            releaseTimer_ = 0;
+            releaseLost();
+            advance();
+        });
+    }
+    if (crashCheckTimer_ != 0 || crashCheck_) {
+        return;
+    }
+    const auto next = crashCheckedAt_ + internal::crashCheckInterval - context_.loop.now();
+    crashCheckTimer_ = context_.loop.after(std::max<Duration>(next, Duration::zero()), [this] {
+        crashCheckTimer_ = 0;
+        checkForCrash();
+    });
+}
+
+auto LocalInstance::checkForCrash() -> void
+{
+    crashCheckedAt_ = context_.loop.now();
+    checkedLosses_ = std::exchange(lost_, {});
+    crashCheck_ = connectOnce([this](const bool isRefused) {
+        context_.loop.destroyLater(std::move(crashCheck_));
+        finishCrashCheck(isRefused);
+    });
+}
+
+auto LocalInstance::connectOnce(std::function<void(bool isRefused)> finished) -> std::unique_ptr<event::Stream>
+{
+    return std::make_unique<event::Stream>(
+        context_.loop,
+        address_,
+        internal::checkTimeout,
+        event::Stream::Hooks{[](std::span<const char>) {},
+                             [finished](const std::string_view reason) { finished(event::isRefused(reason)); },
+                             [finished] { finished(false); },
+                             {}});
+}
+
+auto LocalInstance::finishCrashCheck(const bool hasCrashed) -> void
+{
+    if (hasCrashed) {
+        lost_.insert(lost_.end(), checkedLosses_.begin(), checkedLosses_.end());
+        recordCrash();
+        markDown();
+        releaseLost();
+    } else if (lost_.empty()) {
+        releaseLost();
+    } else {
+        // These were lost while the check was under way.
+        scheduleCrashCheck();
+    }
+    checkedLosses_.clear();
+    advance();
+}
+
+auto LocalInstance::recordCrash() -> void
+{
+    if (crash_ == 0) {
+        crash_ = internal::randomId();
+        for (const auto &[requestId, pending] : pending_) {
+            if (pending.poolRequestId != 0) {
+                lost_.push_back(pending.request.fingerprint);
+            }
+        }
+    }
+    const auto now = context_.loop.now();
+    context_.crashes.recordCrash(crash_, lost_, now);
+    nlohmann::json suspects = nlohmann::json::array();
+    for (const auto fingerprint : std::span{lost_}.first(std::min(lost_.size(), internal::maxLoggedSuspects))) {
+        suspects.push_back({mesh::toText(fingerprint), context_.crashes.suspicion(fingerprint, now).crashes});
+    }
+    context_.log.write("instance_crashed",
+                       {{"instance", record_.report().id},
+                        {"crash", mesh::toText(crash_)},
+                        {"running", lost_.size()},
+                        {"suspects", std::move(suspects)}});
+    lost_.clear();
+}
+
+auto LocalInstance::releaseLost() -> void
+{
+    context_.loop.cancel(releaseTimer_);
+    std::vector<std::uint64_t> released;
+    for (const auto &[requestId, pending] : pending_) {
+        if (pending.lostReply) {
+            released.push_back(requestId);
+        }
+    }
+    for (const auto requestId : released) {
+        const auto found = pending_.find(requestId);
+        if (found != pending_.end()) {
+            auto reply = std::move(*found->second.lostReply);
+            reply.crash = crash_;
+            complete(requestId, std::move(reply));
+        }
+    }
+}
+
+auto LocalInstance::markDown() -> void
+{
+    if (std::exchange(isDown_, true)) {
+        return;
+    }
+    context_.log.write("instance_down", {{"instance", record_.report().id}});
+    refuseQueued(mesh::HopReason::Unreachable);
+    hooks_.availabilityChanged();
+    scheduleAvailabilityCheck();
+}
+
+auto LocalInstance::markUp() -> void
+{
+    crash_ = 0;
+    if (!std::exchange(isDown_, false)) {
+        return;
+    }
+    context_.loop.cancel(availabilityTimer_);
+    context_.loop.destroyLater(std::move(availabilityCheck_));
+    context_.log.write("instance_up", {{"instance", record_.report().id}});
+    hooks_.availabilityChanged();
+}
+
+auto LocalInstance::scheduleAvailabilityCheck() -> void
+{
+    availabilityTimer_ = context_.loop.after(internal::availabilityCheckInterval, [this] {
+        availabilityTimer_ = 0;
+        availabilityCheck_ = connectOnce([this](const bool isRefused) {
+            context_.loop.destroyLater(std::move(availabilityCheck_));
+            if (isRefused) {
+                scheduleAvailabilityCheck();
+            } else {
+                markUp();
+            }
+        });
+    });
+}
+
 auto LocalInstance::isSentToLatestStart(const std::uint64_t requestId) const -> bool
 {
     const auto &pending = pending_.at(requestId);
@@ -359,6 +560,10 @@
         recordRunEnd(found->second);
     }
     gate_.finish(requestId, Duration::zero());
+    if (found->second.lostReply) {
+        complete(requestId, std::move(*found->second.lostReply));
+        return;
+    }
     auto reply = refusal(mesh::HopReason::Expired, internal::unavailableRetryAfter);
     if (poolRequestId != 0) {
         reply.outcome = mesh::HopOutcome::Unknown;
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -7,7 +7,9 @@
 
 #include <jasminelatch/core/counters.hpp>
 #include <jasminelatch/event/loop.hpp>
+#include <jasminelatch/event/stream.hpp>
 #include <jasminelatch/mesh/call_learner.hpp>
+#include <jasminelatch/mesh/crash_tracker.hpp>
 #include <jasminelatch/mesh/hop.hpp>
 #include <jasminelatch/mesh/instance_breaker.hpp>
 #include <jasminelatch/mesh/instance_gate.hpp>
@@ -16,8 +18,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jasminelatch::sidecar {
 
@@ -41,6 +45,13 @@
         Counters &counters; /*!< Receives the `instance.*` counters. */
         mesh::CallLearner &learner; /*!< Observes the run time of requests. */
         ByteBudget &budget; /*!< Bounds the memory for partly received responses. */
+        mesh::CrashTracker &crashes; /*!< Receives the requests that were running in a crashed instance. */
+    };
+
+    /*! @brief Functions of the node that the instance calls. */
+    struct Hooks {
+        std::function<void()> departed; /*!< An answer of the instance says that it is leaving. */
+        std::function<void()> availabilityChanged; /*!< The instance has crashed, or accepts connections again. */
     };
 
     /**
@@ -48,9 +59,9 @@
      * @param context Dependencies.
      * @param address Address of the instance.
      * @param service Service of the instance.
-     * @param departed Called when an answer of the instance says that it is leaving.
+     * @param hooks Functions of the node.
      */
-    LocalInstance(Context context, const event::Endpoint &address, std::string service, std::function<void()> departed);
+    LocalInstance(Context context, const event::Endpoint &address, std::string service, Hooks hooks);
 
     LocalInstance(const LocalInstance &) = delete;
     auto operator=(const LocalInstance &) -> LocalInstance & = delete;
@@ -77,9 +88,12 @@
     /*! @brief Refuses queued and new requests from now on, since the node is about to stop; running ones finish. */
     auto stopAccepting() -> void;
 
-    /*! @brief Tells whether new requests are accepted. */
+    /*! @brief Tells whether new requests are accepted as far as the instance and this node have stated. */
     [[nodiscard]] auto isAccepting() const -> bool;
 
+    /*! @brief Tells whether new requests are accepted and the instance has not crashed. */
+    [[nodiscard]] auto isAvailable() const -> bool;
+
     /**
      * @brief Runs a request, queues it or refuses it.
      * @param request Request; its deadline and wait limit apply.
@@ -124,10 +138,12 @@
         std::uint64_t poolRequestId{}; /*!< Id in the connection pool; zero while it is queued. */
         std::uint64_t instanceStartMs{}; /*!< Start of the instance that it was sent to. */
         event::TimerId deadlineTimer{};
+        /*! @brief Reply that is held back until it is known whether the instance has crashed. */
+        std::optional<mesh::HopReply> lostReply;
     };
 
     auto run(std::uint64_t requestId) -> void;
-    auto refuseQueued() -> void;
+    auto refuseQueued(mesh::HopReason reason) -> void;
     auto handleResult(std::uint64_t requestId, HttpConnection::Result result) -> void;
     [[nodiscard]] auto isSentToLatestStart(std::uint64_t requestId) const -> bool;
     /*! @brief Applies the condition that an answer states; returns whether the instance is leaving. */
@@ -136,6 +152,16 @@
     auto recordRunEnd(const PendingRequest &pending) -> void;
     auto refuseUnreachable(std::uint64_t requestId) -> void;
     auto updateBreaker(const HttpConnection::Result &result) -> void;
+    auto handleLoss(std::uint64_t requestId, HttpConnection::Result result) -> void;
+    auto scheduleCrashCheck() -> void;
+    auto checkForCrash() -> void;
+    auto finishCrashCheck(bool hasCrashed) -> void;
+    auto releaseLost() -> void;
+    auto recordCrash() -> void;
+    auto markDown() -> void;
+    auto markUp() -> void;
+    auto scheduleAvailabilityCheck() -> void;
+    [[nodiscard]] auto connectOnce(std::function<void(bool isRefused)> finished) -> std::unique_ptr<event::Stream>;
     auto handleDeadline(std::uint64_t requestId) -> void;
     auto complete(std::uint64_t requestId, mesh::HopReply reply) -> void;
     auto advance() -> void;
@@ -146,7 +172,7 @@
     Context context_;
     event::Endpoint address_;
     std::string service_;
-    std::function<void()> departed_;
+    Hooks hooks_;
     InstancePool pool_;
     mesh::InstanceGate gate_;
     mesh::InstanceBreaker breaker_;
@@ -157,6 +183,16 @@
     std::uint64_t startedSinceLog_{}; /*!< Requests sent since the last log line on the rate limit. */
     TimePoint rateLimitLoggedAt_;
     bool stopped_{};
+    bool isDown_{}; /*!< Whether the instance accepts no connections. */
+    mesh::CrashId crash_{}; /*!< Crash of the present start; zero if it has not crashed. */
+    std::vector<mesh::Fingerprint> lost_; /*!< Requests lost since the last crash check began. */
+    std::vector<mesh::Fingerprint> checkedLosses_; /*!< Those that the check under way is about. */
+    std::unique_ptr<event::Stream> crashCheck_; /*!< Connection that shows whether the instance still listens. */
+    std::unique_ptr<event::Stream> availabilityCheck_; /*!< The same, while the instance is down. */
+    event::TimerId crashCheckTimer_{};
+    event::TimerId releaseTimer_{};
+    event::TimerId availabilityTimer_{};
+    TimePoint crashCheckedAt_;
 };
 
 } // namespace jasminelatch::sidecar
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -77,12 +77,14 @@
     , retryBudget_{internal::retryBudgetSettings(settings_)}
     , learner_{{}}
     , admission_{{}}
-    , instance_{{loop, dialect_, log_, counters_, learner_, budget_},
+    , crashes_{{}}
+    , instance_{{loop, dialect_, log_, counters_, learner_, budget_, crashes_},
                 settings_.instance,
                 settings_.service,
-                [this] {
-                    publishOwnMember();
-                }}
+                {[this] { publishOwnMember(); },
+                 [this] {
+                     fleet_.sendReports();
+                 }}}
     , registry_{{loop, dialect_, log_, counters_},
                 settings_.store,
                 internal::registrySettings(settings_),
@@ -92,14 +94,14 @@
                  [this](const std::set<std::string> &names) {
                      fleet_.dropUnlistedPeers(names);
                  }}}
-    , fleet_{{loop, log_, placement_, caps_, retryBudget_, admission_, registry_},
+    , fleet_{{loop, log_, placement_, caps_, retryBudget_, admission_, registry_, crashes_},
              ownMember(),
              {[this] { return ownReport(); },
               [this] { return ownState(); },
               [this](const std::string_view frame) {
                   peerServer_.broadcast(frame);
               }}}
-    , router_{{loop, dialect_, log_, counters_, placement_, caps_, retryBudget_, admission_, learner_},
+    , router_{{loop, dialect_, log_, counters_, placement_, caps_, retryBudget_, admission_, learner_, crashes_},
               settings_.service,
               {[this](const std::string &node,
                       const mesh::HopRequest &request,
@@ -392,6 +394,7 @@
             {"instance_queued", load.queued},
             {"instance_limit", load.limit},
             {"instance_rate_limit", instance_.rateLimit().value_or(-1.0)},
+            {"crash_suspects", static_cast<double>(crashes_.suspectCount())},
             {"instance_run_seconds", std::chrono::duration<double>(load.runTime).count()},
             {"entry_active", static_cast<double>(router_.activeRequests())}};
 }
@@ -406,7 +409,7 @@
             settings_.service,
             instance.id,
             instance.slots,
-            instance_.isAccepting(),
+            instance_.isAvailable(),
             instance.coldStartRemaining > Duration::zero() ? internal::coldStartStep : Duration::zero(),
             recordVersion_,
             instance.startTimeMs};
@@ -418,8 +421,8 @@
     auto member = ownMember();
     member.version = 0;
     member.coldStartRemaining = Duration::zero();
-    if (member.accepting) {
-        member.accepting = false;
+    member.accepting = false;
+    if (instance_.isAccepting()) {
         member.instanceId.clear();
         member.slots = 0;
     }
@@ -432,7 +435,7 @@
     report.name = settings_.name;
     report.incarnation = incarnation_;
     report.instanceId = instance_.latest().id;
-    report.accepting = instance_.isAccepting();
+    report.accepting = instance_.isAvailable();
     report.load = instance_.load();
     report.kind = mesh::ReportKind::Own;
     return report;
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -109,6 +109,7 @@
     mesh::RetryBudget retryBudget_;
     mesh::CallLearner learner_;
     mesh::TreeAdmission admission_;
+    mesh::CrashTracker crashes_;
     LocalInstance instance_;
     RegistryClient registry_;
     Fleet fleet_;
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdio>
 #include <optional>
+#include <span>
 #include <utility>
 
 namespace jasminelatch::sidecar {
@@ -16,6 +17,8 @@
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusGatewayTimeout = 504;
+/*! @brief First status code that reports a failure of the server. */
+constexpr unsigned firstServerError = 500;
 /*! @brief Time after the deadline in which the reply of the last node is still accepted. */
 constexpr Duration replyGracePeriod = std::chrono::milliseconds{40};
 /*! @brief Time for which the answer of an expired request may be under way when the node ends. */
@@ -26,6 +29,8 @@
 constexpr int queueWaitDivisor = 4;
 /*! @brief Shortest wait limit of a request that is sent to another instance after its queue wait has run out. */
 constexpr Duration minQueueWait = std::chrono::milliseconds{10};
+/*! @brief `Retry-After` of a request that may have caused a crash while too few instances are left to try it. */
+constexpr Duration suspectRetryAfter = std::chrono::seconds{2};
 /*! @brief Number of route priorities within one account priority. */
 constexpr std::uint32_t ranksPerAccountPriority = 16;
 
@@ -162,6 +167,13 @@
     hop.route = route->name;
     hop.caller = ownService_;
     hop.fingerprint = mesh::fingerprintOf(request, account == nullptr ? std::string_view{} : account->name);
+    if (const auto quarantine = context_.crashes.suspicion(hop.fingerprint, now).quarantine;
+        quarantine > Duration::zero()) {
+        return Refusal{internal::statusUnavailable,
+                       "quarantined",
+                       quarantine,
+                       {{"fingerprint", mesh::toText(hop.fingerprint)}, {"route", route->name}}};
+    }
     hop.idempotent = route->idempotent;
     hop.deadline = now + (call.timeLeft ? std::min(*call.timeLeft, route->timeout) : route->timeout);
     if (end_ && hop.deadline + internal::endMargin > *end_) {
@@ -235,7 +247,7 @@
 {
     auto &attempt = attempts_.at(requestId);
     const auto now = context_.loop.now();
-    const auto *member = context_.placement.choose(attempt.hop.service, attempt.tried, now);
+    const auto *member = choose(attempt);
     if (member == nullptr) {
         fail(requestId, attempt.tried.empty() ? "no_instance" : mesh::toText(attempt.lastReply.reason));
         return;
@@ -251,6 +263,29 @@
     });
 }
 
+auto RequestRouter::choose(Attempt &attempt) -> const mesh::Member *
+{
+    const auto now = context_.loop.now();
+    auto &hop = attempt.hop;
+    hop.crashes = context_.crashes.crashesOf(hop.fingerprint);
+    if (context_.crashes.suspicion(hop.fingerprint, now).crashes == 0) {
+        return context_.placement.choose(hop.service, attempt.tried, now);
+    }
+    const auto *member = context_.placement.chooseForSuspect(hop.service, attempt.tried, now);
+    if (member == nullptr) {
+        attempt.lastReply.retryAfter = std::max<Duration>(attempt.lastReply.retryAfter, internal::suspectRetryAfter);
+    }
+    return member;
+}
+
+auto RequestRouter::recordCrash(const Attempt &attempt, const mesh::HopReply &reply) -> void
+{
+    if (reply.crash != 0) {
+        context_.crashes.recordCrash(reply.crash, std::span{&attempt.hop.fingerprint, 1}, context_.loop.now());
+        context_.placement.markDown(attempt.node);
+    }
+}
+
 auto RequestRouter::handleReply(const std::uint64_t requestId, mesh::HopReply reply) -> void
 {
     const auto found = attempts_.find(requestId);
@@ -262,7 +297,11 @@
                      || reply.reason == mesh::HopReason::BadAnswer || reply.reason == mesh::HopReason::Rejected;
     if (reply.outcome == mesh::HopOutcome::Answered) {
         noteDeparture(attempt, reply.answer);
+        if (reply.answer.status < internal::firstServerError) {
+            context_.crashes.recordSurvival(attempt.hop.fingerprint);
+        }
     }
+    recordCrash(attempt, reply);
     context_.placement.finished(std::exchange(attempt.node, {}), failed, reply.load, context_.loop.now());
     attempt.instancesReached += reply.reached ? 1 : 0;
     if (reply.outcome == mesh::HopOutcome::Answered) {
@@ -296,7 +335,8 @@
 auto RequestRouter::mayRetry(const Attempt &attempt, const mesh::HopReply &reply) -> bool
 {
     const auto now = context_.loop.now();
-    if (now >= attempt.hop.deadline) {
+    const auto quarantine = context_.crashes.suspicion(attempt.hop.fingerprint, now).quarantine;
+    if (now >= attempt.hop.deadline || quarantine > Duration::zero()) {
         return false;
     }
     switch (mesh::retryPermission(
--- a/src/jasminelatch/sidecar/request_router.hpp
+++ b/src/jasminelatch/sidecar/request_router.hpp
@@ -8,6 +8,7 @@
 #include <jasminelatch/core/counters.hpp>
 #include <jasminelatch/event/loop.hpp>
 #include <jasminelatch/mesh/configuration.hpp>
+#include <jasminelatch/mesh/crash_tracker.hpp>
 #include <jasminelatch/mesh/hop.hpp>
 #include <jasminelatch/mesh/placement.hpp>
 #include <jasminelatch/mesh/retry_budget.hpp>
@@ -48,6 +49,7 @@
         mesh::RetryBudget &retryBudget; /*!< Retry budget of each service. */
         mesh::TreeAdmission &admission; /*!< Fraction of the call trees of each rank and route that is admitted. */
         mesh::CallLearner &learner; /*!< Observes the calls that the local instance makes. */
+        mesh::CrashTracker &crashes; /*!< Requests that may crash the instances that run them. */
     };
 
     /*! @brief Functions of the node that the router calls. */
@@ -136,6 +138,8 @@
         -> std::optional<Refusal>;
     [[nodiscard]] auto admitRoot(const mesh::Route &route, const mesh::Account &account, mesh::HopRequest &hop)
         -> std::optional<Refusal>;
+    [[nodiscard]] auto choose(Attempt &attempt) -> const mesh::Member *;
+    auto recordCrash(const Attempt &attempt, const mesh::HopReply &reply) -> void;
     [[nodiscard]] auto pickService(const mesh::Route &route) -> std::string;
     auto dispatch(std::uint64_t requestId) -> void;
     auto cancelExchange(const Attempt &attempt) -> void;
--- a/test/jasminelatch/sidecar/test_node.hpp
+++ b/test/jasminelatch/sidecar/test_node.hpp
@@ -53,28 +53,47 @@
 
 /*! @brief Fake backend server: records requests and answers them immediately or when the test calls `answer`. */
 struct FakeInstance {
-    FakeInstance(Loopback &loopback, std::string name)
-        : id{std::move(name)}
-        , server{loopback.loop,
-                 {[this](mesh::Request request, HttpServer::Respond respond) {
-                      requests.push_back(std::move(request));
-                      const auto index = requests.size() - 1;
-                      responders.push_back(std::move(respond));
-                      if (answersAtOnce) {
-                          answer(index);
-                      }
-                      return static_cast<std::uint64_t>(requests.size());
-                  },
-                  [this](std::uint64_t) { ++cancelled; },
-                  [] {
-                      return mesh::Limits{};
-                  }}}
+    FakeInstance(Loopback &fakeLoopback, std::string name)
+        : loopback{&fakeLoopback}
+        , id{std::move(name)}
     {
-        if (const auto error = server.open(endpoint)) {
+        start();
+    }
+
+    /*! @brief Listens, at first or after a crash. */
+    auto start() -> void
+    {
+        server =
+            std::make_unique<HttpServer>(loopback->loop,
+                                         HttpServer::Hooks{[this](mesh::Request request, HttpServer::Respond respond) {
+                                                               return receive(std::move(request), std::move(respond));
+                                                           },
+                                                           [this](std::uint64_t) { ++cancelled; },
+                                                           [] {
+                                                               return mesh::Limits{};
+                                                           }});
+        if (const auto error = server->open(endpoint)) {
             throw std::runtime_error{*error};
         }
     }
 
+    /*! @brief Closes all connections and stops to listen. */
+    auto crash() -> void { loopback->loop.destroyLater(std::move(server)); }
+
+    auto receive(mesh::Request request, HttpServer::Respond respond) -> std::uint64_t
+    {
+        const auto isDeadly = !deadlyTarget.empty() && request.target == deadlyTarget;
+        requests.push_back(std::move(request));
+        const auto index = requests.size() - 1;
+        responders.push_back(std::move(respond));
+        if (isDeadly) {
+            crash();
+        } else if (answersAtOnce) {
+            answer(index);
+        }
+        return static_cast<std::uint64_t>(requests.size());
+    }
+
     auto answer(const std::size_t index) -> void
     {
         const auto *attempt = mesh::findField(requests[index].fields, "Attempt-Id");
@@ -89,6 +108,7 @@
         responders[index](std::move(answer));
     }
 
+    Loopback *loopback;
     std::string id;
     event::Endpoint endpoint{Loopback::freeEndpoint()};
     std::vector<mesh::Request> requests;
@@ -97,7 +117,8 @@
     unsigned status{200}; /*!< Of every answer. */
     int cancelled{};
     bool answersAtOnce{true};
-    HttpServer server;
+    std::string deadlyTarget; /*!< A request with this target crashes the instance. */
+    std::unique_ptr<HttpServer> server; /*!< Null after a crash. */
 };
 
 /*! @brief Sidecar node with a fake instance; throws if a port can't be opened. */
