Reject records and reports whose numbers or port are out of range

Other operators report that one odd entry among those of the instances ended machines or stopped them following the list. Here a record or a report of another writer with a number too large was accepted: a fraction or a negative number was cast, 2^60 slots were cut off, a cold start of 2^60 ms overflowed, and a start or a sequence number far in the future made every later report of the real instance stale, its departure too. A deregistration whose body was no object counted.

A port out of range and deep nesting of JSON were rejected before too; the parser does not recurse.

--- a/src/jasminelatch/event/endpoint.cpp
+++ b/src/jasminelatch/event/endpoint.cpp
@@ -17,7 +17,7 @@
     const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
     boost::system::error_code addressError;
     boost::asio::ip::make_address_v4(endpoint.ip, addressError);
-    if (error != std::errc{} || end != port.data() + port.size() || addressError) {
+    if (error != std::errc{} || endpoint.port == 0 || end != port.data() + port.size() || addressError) {
         return std::nullopt;
     }
     return endpoint;
--- a/src/jasminelatch/mesh/member.cpp
+++ b/src/jasminelatch/mesh/member.cpp
@@ -1,11 +1,22 @@
 #include "member.hpp"
 
+#include <jasminelatch/core/json_fields.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <tuple>
 
 namespace jasminelatch::mesh {
 
+namespace internal {
+
+/*! @brief Largest record in bytes, far above what a node writes. */
+constexpr std::size_t maxRecordBytes = 16384;
+constexpr std::uint64_t maxSlots = 1'000'000;
+constexpr std::uint64_t maxColdStartMilliseconds = 3'600'000;
+
+} // namespace internal
+
 auto isOlder(const Member &left, const Member &right) -> bool
 {
     return std::tie(left.incarnation, left.version) < std::tie(right.incarnation, right.version);
@@ -29,6 +40,9 @@
 
 auto decodeMember(const std::string_view text) -> std::optional<Member>
 {
+    if (text.size() > internal::maxRecordBytes) {
+        return std::nullopt;
+    }
     try {
         const auto json = nlohmann::json::parse(text);
         const auto address = event::parseEndpoint(json.at("address").get<std::string>());
@@ -36,17 +50,17 @@
             return std::nullopt;
         }
         return Member{json.at("name").get<std::string>(),
-                      json.at("incarnation").get<std::uint64_t>(),
+                      readUnsigned(json, "incarnation", maxUnixMilliseconds),
                       *address,
                       json.at("domain").get<std::string>(),
                       json.at("service").get<std::string>(),
                       json.at("instance").get<std::string>(),
-                      json.at("slots").get<std::uint32_t>(),
+                      static_cast<std::uint32_t>(readUnsigned(json, "slots", internal::maxSlots)),
                       json.at("accepting").get<bool>(),
-                      std::chrono::milliseconds{json.at("coldForMs").get<std::int64_t>()},
-                      json.value("version", std::uint64_t{0}),
-                      json.value("instanceStartMs", std::uint64_t{0})};
-    } catch (const nlohmann::json::exception &) {
+                      std::chrono::milliseconds{readUnsigned(json, "coldForMs", internal::maxColdStartMilliseconds)},
+                      readOptionalUnsigned(json, "version", maxJsonInteger),
+                      readOptionalUnsigned(json, "instanceStartMs", maxUnixMilliseconds)};
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
--- a/test/jasminelatch/mesh/peer_message.cpp
+++ b/test/jasminelatch/mesh/peer_message.cpp
@@ -1,6 +1,7 @@
 #include <jasminelatch/mesh/peer_message.hpp>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
 namespace jasminelatch::mesh {
@@ -139,4 +140,35 @@
     RC_ASSERT(!decodeMember(text));
 }
 
+TEST(Member, RejectsValuesThatNoNodeWrites)
+{
+    const Member member{"vm", 1700, {"10.0.0.1", 7}, "a", "orders", "i-1", 20, true, 3s, 2, 1600};
+    const auto good = nlohmann::json::parse(encodeMember(member));
+    ASSERT_TRUE(decodeMember(good.dump()));
+    const auto tooLarge = std::uint64_t{1} << 60;
+    for (const auto &[field, value] : std::vector<std::pair<std::string, nlohmann::json>>{
+             {"incarnation", tooLarge},
+             {"incarnation", 1e300},
+             {"incarnation", -1},
+             {"slots", tooLarge},
+             {"slots", 1e300},
+             {"coldForMs", tooLarge},
+             {"coldForMs", -5},
+             {"version", tooLarge},
+             {"version", "1"},
+             {"instanceStartMs", tooLarge},
+             {"address", "10.0.0.1:70000"},
+             {"address", "10.0.0.1:0"},
+             {"address", "10.0.0.1"},
+             {"name", nlohmann::json::array({nlohmann::json::array()})}}) {
+        auto odd = good;
+        odd[field] = value;
+        EXPECT_FALSE(decodeMember(odd.dump())) << odd;
+    }
+    const std::string nested(500000, '[');
+    EXPECT_FALSE(decodeMember(nested));
+    EXPECT_FALSE(decodeMember(nested + std::string(nested.size(), ']')));
+    EXPECT_FALSE(decodeMember(R"({"incarnation":)" + std::string(500, '9') + "}"));
+}
+
 } // namespace jasminelatch::mesh
--- a/test/jasminelatch/platform/decode.cpp
+++ b/test/jasminelatch/platform/decode.cpp
@@ -210,4 +210,36 @@
     EXPECT_EQ(body.at("puts").at(0).at("lease"), 77);
 }
 
+TEST(DecodeReport, RejectsValuesThatNoInstanceSends)
+{
+    std::string error;
+    ASSERT_TRUE(decodeReport(heartbeat(goodHeartbeat()), error)) << error;
+    const auto tooLarge = std::uint64_t{1} << 60;
+    for (const auto &[field, value] : std::vector<std::pair<std::string, nlohmann::json>>{
+             {"sequence", tooLarge},
+             {"sequence", 1e30},
+             {"born", tooLarge},
+             {"slots", tooLarge},
+             {"slots", -1},
+             {"cold-left", "1e300s"},
+             {"address", "10.0.0.1:70000"},
+             {"address", "10.0.0.1:0"},
+             {"address", 7},
+             {"state", nlohmann::json::array({nlohmann::json::array()})}}) {
+        auto body = goodHeartbeat();
+        body[field] = value;
+        EXPECT_FALSE(decodeReport(heartbeat(body), error)) << body;
+    }
+    const std::string nested(20000, '[');
+    for (const auto &body : {nested,
+                             nested + std::string(nested.size(), ']'),
+                             R"({"service":)" + nested,
+                             R"({"sequence":)" + std::string(500, '9') + "}"}) {
+        EXPECT_FALSE(decodeReport({"POST", "/v1/Instances.Heartbeat/i-1", {}, body}, error));
+        EXPECT_FALSE(decodeReport({"POST", "/v1/Instances.Deregister/i-1", {}, body}, error));
+    }
+    EXPECT_FALSE(decodeReport(
+        {"POST", "/v1/Instances.Deregister/i-1", {}, R"({"born":)" + std::to_string(tooLarge) + "}"}, error));
+}
+
 } // namespace jasminelatch::platform
