One unreadable item does not hide the rest of its page of the store

An item whose value is not base64, or with a field of another type, made the whole page unreadable: a node that started found neither configuration nor peers, and one that watched stopped following changes as long as the item was there. Items are now decoded one by one; those left out are counted in the line store_items_unreadable.

Tests that failed before: StoreProtocol.AnOddItemDoesNotHideTheRestOfItsPage, NodeTest.OddRecordsOfAnotherWriterHide NoOtherRecord (a starting node answered 503, and a new key was not in force at any node).

--- a/src/jasminelatch/sidecar/dialect.hpp
+++ b/src/jasminelatch/sidecar/dialect.hpp
@@ -49,6 +49,7 @@
     std::vector<StoreItem> items; /*!< Items or changes, in the order of the store's answer. */
     std::uint64_t revision{}; /*!< Store revision that the page reflects. */
     bool hasMore{}; /*!< Whether another page follows. */
+    std::size_t unreadable{}; /*!< Number of items that are left out because they can't be decoded. */
 };
 
 /*! @brief Lease granted by the store. */
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -423,7 +423,11 @@
     // A late answer of the store that a copy has replaced has revisions that no longer count.
     const auto era = context_.dialect.store.readEra(*result.answer);
     const auto isOfOtherEra = era && era_ && *era != *era_;
-    return isOfOtherEra ? std::nullopt : context_.dialect.store.readPage(*result.answer);
+    auto page = isOfOtherEra ? std::nullopt : context_.dialect.store.readPage(*result.answer);
+    if (page && page->unreadable > 0) {
+        context_.log.write("store_items_unreadable", {{"items", page->unreadable}, {"revision", page->revision}});
+    }
+    return page;
 }
 
 auto RegistryClient::apply(const StoreItem &item) -> void
--- a/test/jasminelatch/platform/decode.cpp
+++ b/test/jasminelatch/platform/decode.cpp
@@ -210,6 +210,34 @@
     EXPECT_EQ(body.at("puts").at(0).at("lease"), 77);
 }
 
+TEST(StoreProtocol, AnOddItemDoesNotHideTheRestOfItsPage)
+{
+    const std::string nested(20000, '[');
+    const auto closing = std::string(nested.size(), ']');
+    const auto protocol = makeStoreProtocol();
+    for (const auto &odd : {std::string{R"({"key":"b","revision":5,"value":"?"})"},
+                            std::string{R"({"key":"b","revision":5})"},
+                            std::string{R"({"key":7,"revision":5,"value":"Zg=="})"},
+                            std::string{R"({"key":"b","revision":1e300,"value":"Zg=="})"},
+                            std::string{R"({"key":"b","revision":-1,"value":"Zg=="})"},
+                            std::string{R"({"key":"b","revision":5,"removed":"no","value":"Zg=="})"},
+                            R"({"key":"b","revision":5,"value":)" + nested + closing + "}",
+                            nested + closing}) {
+        for (const std::string list : {"items", "events"}) {
+            const auto page =
+                protocol.readPage({200,
+                                   "",
+                                   {},
+                                   "{\"" + list + R"(":[{"key":"a","revision":4,"value":"Zg=="},)" + odd
+                                       + R"(,{"key":"c","revision":6,"value":"Zg=="}],"current-rev":9})"});
+            ASSERT_TRUE(page) << odd.substr(0, 60);
+            ASSERT_EQ(page->items.size(), 2U) << odd.substr(0, 60);
+            EXPECT_EQ(page->items.back().key, "c");
+            EXPECT_EQ(page->unreadable, 1U);
+        }
+    }
+}
+
 TEST(DecodeReport, RejectsValuesThatNoInstanceSends)
 {
     std::string error;
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -98,6 +98,28 @@
     EXPECT_EQ(metrics.find("wrong_instance"), std::string::npos) << metrics;
 }
 
+TEST_F(NodeTest, OddRecordsOfAnotherWriterHideNoOtherRecord)
+{
+    const std::string nested(200000, '[');
+    const auto good =
+        mesh::encodeMember({"vm0", 1, Loopback::freeEndpoint(), "d1", "orders", "i-other", 20, true, {}, 1, 1});
+    auto port = nlohmann::json::parse(good);
+    port["address"] = "127.0.0.1:99999";
+    auto large = nlohmann::json::parse(good);
+    large["incarnation"] = 1e300;
+    store.put("jasminelatch/nodes/aaa", base64(nested + std::string(nested.size(), ']')));
+    store.put("jasminelatch/nodes/vm0", base64(port.dump()));
+    store.put("jasminelatch/nodes/vm1", base64(large.dump()));
+    store.put("jasminelatch/nodes/b", "not base64 ?");
+    store.put("op/a", base64(nested));
+    const TestNode late{loopback, storeAt, "late", "catalogue"};
+    EXPECT_TRUE(loopback.runUntil([&] { return fetchAt(late, "/m/1", "k1").status == 200; }));
+    store.put("op/config", configuration("0000000d", R"("k2")"));
+    for (const auto *node : std::initializer_list<const TestNode *>{&front, &late}) {
+        EXPECT_TRUE(loopback.runUntil([&] { return fetchAt(*node, "/m/1", "k2").status == 200; }, 2s));
+    }
+}
+
 TEST_F(NodeTest, AMalformedReportIsRejectedAndChangesNothing)
 {
     const std::string body = R"({"service":"orders","slots":20,"state":"ready","sequence":9,"born":1800})";
