A deeply nested frame between nodes does not end the process

CBOR nests by one byte a level and its parser recurses: a frame of half a megabyte exhausted the stack. Heads of more than 4 KB, which reports have at times and requests hardly ever, are checked for their depth first.

Test that failed before (segmentation fault): FrameReader.ADeeplyNestedHeadIsAnError.

--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -25,6 +25,39 @@
     std::string_view body;
 };
 
+/*! @brief Length of a head up to which its nesting cannot exhaust the stack. */
+constexpr std::size_t maxUncheckedHeadBytes = 4096;
+/*! @brief Deepest nesting in a head; no message needs more than a few levels. */
+constexpr std::size_t maxDepth = 16;
+
+/*! @brief Stops the parser, which recurses, at the first value that is nested too deeply. */
+class DepthLimit: public Json::json_sax_t
+{
+public:
+    auto null() -> bool override { return true; }
+    auto boolean(bool) -> bool override { return true; }
+    auto number_integer(number_integer_t) -> bool override { return true; }
+    auto number_unsigned(number_unsigned_t) -> bool override { return true; }
+    auto number_float(number_float_t, const string_t &) -> bool override { return true; }
+    auto string(string_t &) -> bool override { return true; }
+    auto binary(binary_t &) -> bool override { return true; }
+    auto key(string_t &) -> bool override { return true; }
+    auto start_object(std::size_t) -> bool override { return ++depth_ <= maxDepth; }
+    auto start_array(std::size_t) -> bool override { return ++depth_ <= maxDepth; }
+    auto end_object() -> bool override { return --depth_ <= maxDepth; }
+    auto end_array() -> bool override { return --depth_ <= maxDepth; }
+    auto parse_error(std::size_t, const std::string &, const Json::exception &) -> bool override { return false; }
+
+private:
+    std::size_t depth_{};
+};
+
+auto isTooDeep(const std::string_view head) -> bool
+{
+    DepthLimit limit;
+    return head.size() > maxUncheckedHeadBytes && !Json::sax_parse(head, &limit, Json::input_format_t::cbor);
+}
+
 auto encodeFields(const std::vector<Field> &fields) -> Json
 {
     auto json = Json::array();
@@ -340,6 +373,9 @@
 
 auto decode(const std::string_view head, const std::string_view body, const TimePoint now) -> std::optional<PeerMessage>
 {
+    if (isTooDeep(head)) {
+        return std::nullopt;
+    }
     try {
         const auto json = Json::from_cbor(head);
         switch (json.at(0).get<Kind>()) {
--- a/test/jasminelatch/mesh/peer_message.cpp
+++ b/test/jasminelatch/mesh/peer_message.cpp
@@ -171,4 +171,14 @@
     EXPECT_FALSE(decodeMember(R"({"incarnation":)" + std::string(500, '9') + "}"));
 }
 
+TEST(FrameReader, ADeeplyNestedHeadIsAnError)
+{
+    // One byte opens an array in CBOR, so that a short frame could exhaust the stack.
+    const std::string head(1 << 19, '\x81');
+    std::string frame(8, '\0');
+    frame[1] = static_cast<char>(head.size() >> 16);
+    FrameReader reader{maxFrame};
+    EXPECT_FALSE(reader.feed(frame + head, start, [](const PeerMessage &) { return true; }));
+}
+
 } // namespace jasminelatch::mesh
