--- a/test/jasminelatch/mesh/instance_gate.cpp
+++ b/test/jasminelatch/mesh/instance_gate.cpp
@@ -173,4 +173,32 @@
     EXPECT_EQ(gate.load(start).runTime, 100ms);
 }
 
+TEST(InstanceGate, OfTheRequestsOfACrashFewRunAtOnceAndOthersPassThem)
+{
+    InstanceGate gate{{}};
+    gate.setSlots(16);
+    const auto suspect = [](const std::uint64_t id, const std::uint32_t crashes) {
+        auto request = item(id, 1);
+        request.crashes = crashes;
+        return request;
+    };
+    EXPECT_EQ(gate.offer(suspect(1, 1), start).kind, Kind::Run);
+    EXPECT_EQ(gate.offer(suspect(2, 1), start).kind, Kind::Run);
+    EXPECT_EQ(gate.offer(suspect(3, 1), start).kind, Kind::Wait);
+    EXPECT_EQ(gate.offer(suspect(4, 2), start).kind, Kind::Wait);
+    EXPECT_EQ(gate.offer(item(5, 1), start).kind, Kind::Run) << "a sound request does not wait behind them";
+    EXPECT_EQ(gate.load(start).queued, 0U) << "they are no sign of overload";
+    gate.finish(1, 50ms);
+    EXPECT_EQ(gate.dispatch(start).run, std::vector<std::uint64_t>{3});
+    gate.finish(2, 50ms);
+    EXPECT_TRUE(gate.dispatch(start).run.empty()) << "one of two crashes runs without others";
+    gate.finish(3, 50ms);
+    EXPECT_EQ(gate.dispatch(start).run, std::vector<std::uint64_t>{4});
+    EXPECT_EQ(gate.offer(suspect(6, 1), start).kind, Kind::Wait);
+    EXPECT_EQ(gate.offer(item(7, 1), start).kind, Kind::Run);
+    gate.finish(6, {});
+    gate.finish(4, 50ms);
+    EXPECT_EQ(gate.offer(suspect(8, 2), start).kind, Kind::Run);
+}
+
 } // namespace jasminelatch::mesh
--- a/test/jasminelatch/mesh/placement.cpp
+++ b/test/jasminelatch/mesh/placement.cpp
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace jasminelatch::mesh {
 
@@ -183,4 +186,35 @@
     EXPECT_NE(placement.choose("vistas", {}, start + 1s), nullptr);
 }
 
+TEST(Placement, ARequestOfACrashIsTriedAtFewInstancesAndNeverAtTheLast)
+{
+    Placement placement{{}, "a", 1};
+    for (const auto *name : {"vm1", "vm2", "vm3", "vm4", "vm5"}) {
+        placement.setMember(member(name), start);
+    }
+    std::set<std::string> tried;
+    for (auto count = 0; count < 50; ++count) {
+        tried.insert(placement.chooseForSuspect("vistas", {}, start + 10s)->name);
+    }
+    EXPECT_EQ(tried, (std::set<std::string>{"vm1", "vm2"}));
+    const std::vector<std::string> exclude{"vm1", "vm2"};
+    EXPECT_EQ(placement.chooseForSuspect("vistas", exclude, start + 10s), nullptr);
+    for (const auto *name : {"vm1", "vm2", "vm4"}) {
+        placement.markDown(name);
+    }
+    EXPECT_EQ(placement.chooseForSuspect("vistas", {}, start + 10s)->name, "vm3");
+    placement.markDown("vm3");
+    EXPECT_EQ(placement.chooseForSuspect("vistas", {}, start + 10s), nullptr);
+    EXPECT_EQ(placement.choose("vistas", {}, start + 10s)->name, "vm5");
+    placement.applyReport(report("vm3", {0, 0, 30, 50ms}));
+    EXPECT_EQ(placement.chooseForSuspect("vistas", {}, start + 10s)->name, "vm3") << "it is up again";
+}
+
+TEST(Placement, ARequestOfACrashRunsAtTheOnlyInstanceOfItsService)
+{
+    Placement placement{{}, "a", 1};
+    placement.setMember(member("only"), start);
+    EXPECT_EQ(placement.chooseForSuspect("vistas", {}, start + 10s)->name, "only");
+}
+
 } // namespace jasminelatch::mesh
