Send all requests of a crash together, as soon as the crash is known

Two causes, seen in the lines instance_down and instance_crashed: a refused connection announced the crash before the lost requests were recorded, which then waited for the next report; and entry nodes recorded crashes of their own requests, so that a sound one was known with two crashes where the deadly one was known with one, and seemed to explain it.

The node beside the instance now records a crash with all its requests before it announces it, and is the only one to record; an attempt carries the crashes that ended its earlier tries until that record arrives.

--- a/src/jasminelatch/mesh/crash_tracker.cpp
+++ b/src/jasminelatch/mesh/crash_tracker.cpp
@@ -58,35 +58,27 @@
     }
 }
 
-auto CrashTracker::suspicion(const Fingerprint fingerprint, const TimePoint now) const -> CrashSuspicion
+auto CrashTracker::suspicion(const Fingerprint fingerprint,
+                             const std::span<const CrashId> attempt,
+                             const TimePoint now) const -> CrashSuspicion
 {
+    const auto unknown = std::ranges::count_if(attempt, [this](const auto crash) { return !running_.contains(crash); });
+    CrashSuspicion suspicion{static_cast<std::uint32_t>(unknown), Duration::zero()};
     const auto found = records_.find(fingerprint);
     if (found == records_.end() || now - found->second.lastCrashAt > settings_.memory) {
-        return {};
+        return suspicion;
     }
-    CrashSuspicion suspicion{unexplainedCrashes(found->second), Duration::zero()};
-    if (suspicion.crashes >= settings_.crashesBeforeQuarantine) {
+    const auto recorded = unexplainedCrashes(found->second);
+    suspicion.crashes += recorded;
+    if (recorded >= settings_.crashesBeforeQuarantine) {
         constexpr std::uint32_t maxDoublings = 16;
-        const auto doublings = std::min(suspicion.crashes - settings_.crashesBeforeQuarantine, maxDoublings);
+        const auto doublings = std::min(recorded - settings_.crashesBeforeQuarantine, maxDoublings);
         const auto quarantine = std::min<Duration>(settings_.quarantine * (1U << doublings), settings_.maxQuarantine);
         suspicion.quarantine = std::max<Duration>(found->second.lastCrashAt + quarantine - now, Duration::zero());
     }
     return suspicion;
 }
 
-auto CrashTracker::crashesOf(const Fingerprint fingerprint) const -> std::vector<CrashId>
-{
-    std::vector<CrashId> crashes;
-    if (const auto found = records_.find(fingerprint); found != records_.end()) {
-        for (const auto &[crash, isCleared] : found->second.crashes) {
-            if (!isCleared) {
-                crashes.push_back(crash);
-            }
-        }
-    }
-    return crashes;
-}
-
 auto CrashTracker::recordsSince(const std::uint64_t change, const TimePoint now) const -> std::vector<CrashRecord>
 {
     std::vector<CrashRecord> changed;
--- a/src/jasminelatch/mesh/crash_tracker.hpp
+++ b/src/jasminelatch/mesh/crash_tracker.hpp
@@ -39,7 +39,8 @@
  * cleared, and a crash does not count for a request if another one was running there that has been in more crashes. A
  * request that has been in several crashes is quarantined.
  *
- * Records of nodes merge to the same result in any order.
+ * Records of nodes merge to the same result in any order. The node beside an instance records a crash with all requests
+ * that were running, and sends them together: with a part of them, the one that caused it might seem to be explained.
  */
 class CrashTracker
 {
@@ -80,15 +81,11 @@
     /**
      * @brief Returns how a request must be treated.
      * @param fingerprint The request.
+     * @param attempt Crashes that ended earlier tries of this attempt; those of which no record has arrived count too.
      * @param now Current time.
      */
-    [[nodiscard]] auto suspicion(Fingerprint fingerprint, TimePoint now) const -> CrashSuspicion;
-
-    /**
-     * @brief Returns the crashes in which a request was running and of which it is not cleared.
-     * @param fingerprint The request.
-     */
-    [[nodiscard]] auto crashesOf(Fingerprint fingerprint) const -> std::vector<CrashId>;
+    [[nodiscard]] auto suspicion(Fingerprint fingerprint, std::span<const CrashId> attempt, TimePoint now) const
+        -> CrashSuspicion;
 
     /**
      * @brief Returns the records that have changed, for other nodes.
--- a/src/jasminelatch/mesh/hop.hpp
+++ b/src/jasminelatch/mesh/hop.hpp
@@ -30,7 +30,7 @@
     std::string caller; /*!< Service of the VM that sent the request. */
     std::string account; /*!< Client account; empty for routes without authentication. */
     Fingerprint fingerprint{}; /*!< Identifies the request across attempts; zero from earlier builds. */
-    std::vector<CrashId> crashes; /*!< Crashes in which it was running, as far as the sender knows. */
+    std::vector<CrashId> crashes; /*!< Crashes that ended earlier tries of this attempt. */
     std::uint32_t rank{}; /*!< Priority rank in queues; zero is the highest. */
     bool idempotent{}; /*!< Whether the request may run more than once. */
     TimePoint deadline; /*!< Time after which the caller no longer waits; sent as the time left. */
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -146,8 +146,7 @@
     const auto requestId = ++lastRequestId_;
     const auto now = context_.loop.now();
     const auto startBy = now + request.waitLimit;
-    context_.crashes.merge({request.fingerprint, request.crashes, {}, Duration::zero()}, now);
-    const auto suspicion = context_.crashes.suspicion(request.fingerprint, now);
+    const auto suspicion = context_.crashes.suspicion(request.fingerprint, request.crashes, now);
     const mesh::InstanceGate::Item item{
         requestId, request.rank, request.route, request.deadline, startBy, suspicion.crashes};
     const auto &latest = record_.report();
@@ -299,7 +298,8 @@
         return;
     }
     if (!result.sent && event::isRefused(result.error)) {
-        markDown();
+        pending_.at(requestId).poolRequestId = 0;
+        handleCrash();
     }
     const auto isLeaving = result.answer && isSentToLatestStart(requestId) && updateCondition(*result.answer);
     auto reply = toReply(std::move(result));
@@ -324,7 +324,7 @@
     pending.lostReply = toReply(std::move(result));
     lost_.push_back(pending.request.fingerprint);
     if (crash_ != 0) {
-        recordCrash();
+        // It was recorded with the other requests that were running.
         releaseLost();
     } else {
         scheduleCrashCheck();
@@ -375,10 +375,7 @@
 auto LocalInstance::finishCrashCheck(const bool hasCrashed) -> void
 {
     if (hasCrashed) {
-        lost_.insert(lost_.end(), checkedLosses_.begin(), checkedLosses_.end());
-        recordCrash();
-        markDown();
-        releaseLost();
+        handleCrash();
     } else if (lost_.empty()) {
         releaseLost();
     } else {
@@ -389,21 +386,36 @@
     advance();
 }
 
+auto LocalInstance::handleCrash() -> void
+{
+    if (std::exchange(isDown_, true)) {
+        return;
+    }
+    recordCrash();
+    context_.log.write("instance_down", {{"instance", record_.report().id}});
+    refuseQueued(mesh::HopReason::Unreachable);
+    hooks_.availabilityChanged();
+    releaseLost();
+    scheduleAvailabilityCheck();
+}
+
 auto LocalInstance::recordCrash() -> void
 {
-    if (crash_ == 0) {
-        crash_ = internal::randomId();
-        for (const auto &[requestId, pending] : pending_) {
-            if (pending.poolRequestId != 0) {
-                lost_.push_back(pending.request.fingerprint);
-            }
+    lost_.insert(lost_.end(), checkedLosses_.begin(), checkedLosses_.end());
+    for (const auto &[requestId, pending] : pending_) {
+        if (pending.poolRequestId != 0) {
+            lost_.push_back(pending.request.fingerprint);
         }
     }
+    if (lost_.empty()) {
+        return;
+    }
     const auto now = context_.loop.now();
+    crash_ = internal::randomId();
     context_.crashes.recordCrash(crash_, lost_, now);
     nlohmann::json suspects = nlohmann::json::array();
     for (const auto fingerprint : std::span{lost_}.first(std::min(lost_.size(), internal::maxLoggedSuspects))) {
-        suspects.push_back({mesh::toText(fingerprint), context_.crashes.suspicion(fingerprint, now).crashes});
+        suspects.push_back({mesh::toText(fingerprint), context_.crashes.suspicion(fingerprint, {}, now).crashes});
     }
     context_.log.write("instance_crashed",
                        {{"instance", record_.report().id},
@@ -432,17 +444,6 @@
     }
 }
 
-auto LocalInstance::markDown() -> void
-{
-    if (std::exchange(isDown_, true)) {
-        return;
-    }
-    context_.log.write("instance_down", {{"instance", record_.report().id}});
-    refuseQueued(mesh::HopReason::Unreachable);
-    hooks_.availabilityChanged();
-    scheduleAvailabilityCheck();
-}
-
 auto LocalInstance::markUp() -> void
 {
     crash_ = 0;
@@ -588,6 +589,7 @@
                            {{"id", request.attemptId},
                             {"route", request.route},
                             {"fingerprint", mesh::toText(request.fingerprint)},
+                            {"crashes", request.crashes.size()},
                             {"target", request.request.target.substr(0, internal::maxLoggedTarget)},
                             {"rank", request.rank},
                             {"reason", mesh::toText(reply.reason)},
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -158,7 +158,7 @@
     auto finishCrashCheck(bool hasCrashed) -> void;
     auto releaseLost() -> void;
     auto recordCrash() -> void;
-    auto markDown() -> void;
+    auto handleCrash() -> void;
     auto markUp() -> void;
     auto scheduleAvailabilityCheck() -> void;
     [[nodiscard]] auto connectOnce(std::function<void(bool isRefused)> finished) -> std::unique_ptr<event::Stream>;
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <cstdio>
 #include <optional>
-#include <span>
 #include <utility>
 
 namespace jasminelatch::sidecar {
@@ -167,7 +166,7 @@
     hop.route = route->name;
     hop.caller = ownService_;
     hop.fingerprint = mesh::fingerprintOf(request, account == nullptr ? std::string_view{} : account->name);
-    if (const auto quarantine = context_.crashes.suspicion(hop.fingerprint, now).quarantine;
+    if (const auto quarantine = context_.crashes.suspicion(hop.fingerprint, {}, now).quarantine;
         quarantine > Duration::zero()) {
         return Refusal{internal::statusUnavailable,
                        "quarantined",
@@ -267,8 +266,7 @@
 {
     const auto now = context_.loop.now();
     auto &hop = attempt.hop;
-    hop.crashes = context_.crashes.crashesOf(hop.fingerprint);
-    if (context_.crashes.suspicion(hop.fingerprint, now).crashes == 0) {
+    if (context_.crashes.suspicion(hop.fingerprint, hop.crashes, now).crashes == 0) {
         return context_.placement.choose(hop.service, attempt.tried, now);
     }
     const auto *member = context_.placement.chooseForSuspect(hop.service, attempt.tried, now);
@@ -278,10 +276,10 @@
     return member;
 }
 
-auto RequestRouter::recordCrash(const Attempt &attempt, const mesh::HopReply &reply) -> void
+auto RequestRouter::noteCrash(Attempt &attempt, const mesh::HopReply &reply) -> void
 {
     if (reply.crash != 0) {
-        context_.crashes.recordCrash(reply.crash, std::span{&attempt.hop.fingerprint, 1}, context_.loop.now());
+        attempt.hop.crashes.push_back(reply.crash);
         context_.placement.markDown(attempt.node);
     }
 }
@@ -301,7 +299,7 @@
             context_.crashes.recordSurvival(attempt.hop.fingerprint);
         }
     }
-    recordCrash(attempt, reply);
+    noteCrash(attempt, reply);
     context_.placement.finished(std::exchange(attempt.node, {}), failed, reply.load, context_.loop.now());
     attempt.instancesReached += reply.reached ? 1 : 0;
     if (reply.outcome == mesh::HopOutcome::Answered) {
@@ -335,7 +333,7 @@
 auto RequestRouter::mayRetry(const Attempt &attempt, const mesh::HopReply &reply) -> bool
 {
     const auto now = context_.loop.now();
-    const auto quarantine = context_.crashes.suspicion(attempt.hop.fingerprint, now).quarantine;
+    const auto quarantine = context_.crashes.suspicion(attempt.hop.fingerprint, {}, now).quarantine;
     if (now >= attempt.hop.deadline || quarantine > Duration::zero()) {
         return false;
     }
@@ -366,6 +364,7 @@
                         {"service", attempt.hop.service},
                         {"account", attempt.hop.account},
                         {"fingerprint", mesh::toText(attempt.hop.fingerprint)},
+                        {"crashes", attempt.hop.crashes.size()},
                         {"reason", reason},
                         {"status", status},
                         {"tried", attempt.tried},
--- a/src/jasminelatch/sidecar/request_router.hpp
+++ b/src/jasminelatch/sidecar/request_router.hpp
@@ -139,7 +139,7 @@
     [[nodiscard]] auto admitRoot(const mesh::Route &route, const mesh::Account &account, mesh::HopRequest &hop)
         -> std::optional<Refusal>;
     [[nodiscard]] auto choose(Attempt &attempt) -> const mesh::Member *;
-    auto recordCrash(const Attempt &attempt, const mesh::HopReply &reply) -> void;
+    auto noteCrash(Attempt &attempt, const mesh::HopReply &reply) -> void;
     [[nodiscard]] auto pickService(const mesh::Route &route) -> std::string;
     auto dispatch(std::uint64_t requestId) -> void;
     auto cancelExchange(const Attempt &attempt) -> void;
--- a/test/jasminelatch/mesh/crash_tracker.cpp
+++ b/test/jasminelatch/mesh/crash_tracker.cpp
@@ -26,19 +26,19 @@
 TEST(CrashTracker, ARequestOfThreeCrashesIsQuarantined)
 {
     CrashTracker tracker{{}};
-    EXPECT_EQ(tracker.suspicion(deadly, start).crashes, 0U);
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start).crashes, 0U);
     for (CrashId id = 1; id <= 2; ++id) {
         crash(tracker, id, {deadly});
-        EXPECT_EQ(tracker.suspicion(deadly, start).crashes, id);
-        EXPECT_EQ(tracker.suspicion(deadly, start).quarantine, Duration::zero());
+        EXPECT_EQ(tracker.suspicion(deadly, {}, start).crashes, id);
+        EXPECT_EQ(tracker.suspicion(deadly, {}, start).quarantine, Duration::zero());
     }
     crash(tracker, 3, {deadly});
-    EXPECT_EQ(tracker.suspicion(deadly, start).quarantine, Duration{10min});
-    EXPECT_EQ(tracker.suspicion(deadly, start + 4min).quarantine, Duration{6min});
-    EXPECT_EQ(tracker.suspicion(deadly, start + 11min).quarantine, Duration::zero());
-    EXPECT_EQ(tracker.suspicion(deadly, start + 11min).crashes, 3U) << "it is still run alone";
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start).quarantine, Duration{10min});
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start + 4min).quarantine, Duration{6min});
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start + 11min).quarantine, Duration::zero());
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start + 11min).crashes, 3U) << "it is still run alone";
     crash(tracker, 4, {deadly}, 11min);
-    EXPECT_EQ(tracker.suspicion(deadly, start + 11min).quarantine, Duration{20min}) << "longer after another crash";
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start + 11min).quarantine, Duration{20min}) << "longer after another crash";
 }
 
 TEST(CrashTracker, TheSameCrashCountsOnce)
@@ -47,21 +47,21 @@
     for (auto count = 0; count < 5; ++count) {
         crash(tracker, 1, {deadly});
     }
-    EXPECT_EQ(tracker.suspicion(deadly, start).crashes, 1U);
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start).crashes, 1U);
 }
 
 TEST(CrashTracker, ARequestBesideOneOfMoreCrashesIsNotSuspected)
 {
     CrashTracker tracker{{}};
     crash(tracker, 1, {deadly, 20, 21});
-    EXPECT_EQ(tracker.suspicion(20, start).crashes, 1U);
+    EXPECT_EQ(tracker.suspicion(20, {}, start).crashes, 1U);
     crash(tracker, 2, {deadly, 21, 22});
-    EXPECT_EQ(tracker.suspicion(20, start).crashes, 0U);
-    EXPECT_EQ(tracker.suspicion(21, start).crashes, 2U);
+    EXPECT_EQ(tracker.suspicion(20, {}, start).crashes, 0U);
+    EXPECT_EQ(tracker.suspicion(21, {}, start).crashes, 2U);
     crash(tracker, 3, {deadly, 23});
-    EXPECT_EQ(tracker.suspicion(deadly, start).crashes, 3U);
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start).crashes, 3U);
     for (const Fingerprint sound : {20, 21, 22, 23}) {
-        EXPECT_EQ(tracker.suspicion(sound, start).crashes, 0U) << sound;
+        EXPECT_EQ(tracker.suspicion(sound, {}, start).crashes, 0U) << sound;
     }
 }
 
@@ -72,7 +72,7 @@
     for (CrashId id = 1; id < 20; ++id) {
         crash(tracker, id, {popular});
         tracker.recordSurvival(popular);
-        EXPECT_EQ(tracker.suspicion(popular, start).crashes, 0U);
+        EXPECT_EQ(tracker.suspicion(popular, {}, start).crashes, 0U);
     }
 }
 
@@ -84,7 +84,19 @@
     for (const CrashId id : {2, 3, 4}) {
         crash(tracker, id, {deadly});
     }
-    EXPECT_GT(tracker.suspicion(deadly, start).quarantine, Duration::zero());
+    EXPECT_GT(tracker.suspicion(deadly, {}, start).quarantine, Duration::zero());
+}
+
+TEST(CrashTracker, CrashesOfAnAttemptCountUntilTheirRecordArrives)
+{
+    CrashTracker tracker{{}};
+    const std::vector<CrashId> attempt{1, 2};
+    EXPECT_EQ(tracker.suspicion(20, attempt, start).crashes, 2U);
+    crash(tracker, 1, {deadly, 20});
+    crash(tracker, 2, {deadly});
+    EXPECT_EQ(tracker.suspicion(20, attempt, start).crashes, 0U);
+    EXPECT_EQ(tracker.suspicion(deadly, attempt, start).crashes, 2U);
+    EXPECT_EQ(tracker.suspicion(deadly, attempt, start).quarantine, Duration::zero());
 }
 
 TEST(CrashTracker, ForgetsRequestsOfFewerCrashesFirst)
@@ -97,8 +109,8 @@
         crash(tracker, sound, {sound}, 1s);
     }
     EXPECT_EQ(tracker.suspectCount(), 50U);
-    EXPECT_GT(tracker.suspicion(deadly, start + 1s).quarantine, Duration::zero());
-    EXPECT_EQ(tracker.suspicion(deadly, start + 5h).crashes, 0U);
+    EXPECT_GT(tracker.suspicion(deadly, {}, start + 1s).quarantine, Duration::zero());
+    EXPECT_EQ(tracker.suspicion(deadly, {}, start + 5h).crashes, 0U);
 }
 
 TEST(CrashTracker, IgnoresRecordsWithoutARequestOrACrash)
@@ -137,8 +149,8 @@
     exchange(first, second);
     RC_ASSERT(second.lastChange() == changes);
     for (Fingerprint fingerprint = 1; fingerprint < 5; ++fingerprint) {
-        const auto left = first.suspicion(fingerprint, start);
-        const auto right = second.suspicion(fingerprint, start);
+        const auto left = first.suspicion(fingerprint, {}, start);
+        const auto right = second.suspicion(fingerprint, {}, start);
         RC_ASSERT(left.crashes == right.crashes);
         RC_ASSERT(left.quarantine == right.quarantine);
     }
