Identify the request by its second crash, and spare capacity that is needed

The request crashed a third instance before it was known for certain, and in services of three instances the second crash followed the first within 0.1 s: two thirds of the capacity were gone at once, and 300 requests a window were refused for eight seconds (Rumbo, request at preview-view). In a service of fewer than eight instances only one suspect runs at an instance at a time, so that the second crash has one explanation; such a request is quarantined for a minute at once, and for ten after a third crash. While an instance is down, suspects are tried for up to five seconds only if the instances that are not put at risk can serve the present load.

Ruled out: conviction without a second crash, by how often a request comes again; a popular read comes as often.

--- a/src/jasminelatch/mesh/crash_tracker.cpp
+++ b/src/jasminelatch/mesh/crash_tracker.cpp
@@ -68,14 +68,11 @@
     if (found == records_.end() || now - found->second.lastCrashAt > settings_.memory) {
         return suspicion;
     }
-    const auto recorded = unexplainedCrashes(found->second);
-    suspicion.crashes += recorded;
-    if (recorded >= settings_.crashesBeforeQuarantine) {
-        constexpr std::uint32_t maxDoublings = 16;
-        const auto doublings = std::min(recorded - settings_.crashesBeforeQuarantine, maxDoublings);
-        const auto quarantine = std::min<Duration>(settings_.quarantine * (1U << doublings), settings_.maxQuarantine);
-        suspicion.quarantine = std::max<Duration>(found->second.lastCrashAt + quarantine - now, Duration::zero());
-    }
+    const auto &record = found->second;
+    suspicion.crashes += unexplainedCrashes(record);
+    suspicion.sinceCrash = now - record.lastCrashAt;
+    suspicion.quarantine =
+        std::max<Duration>(quarantineOf(fingerprint, record) - suspicion.sinceCrash, Duration::zero());
     return suspicion;
 }
 
@@ -129,16 +126,46 @@
     }
 }
 
+auto CrashTracker::quarantineOf(const Fingerprint fingerprint, const Record &record) const -> Duration
+{
+    const auto crashes = unexplainedCrashes(record);
+    if (crashes >= settings_.crashesBeforeQuarantine) {
+        constexpr std::uint32_t maxDoublings = 16;
+        const auto doublings = std::min(crashes - settings_.crashesBeforeQuarantine, maxDoublings);
+        return std::min<Duration>(settings_.quarantine * (1U << doublings), settings_.maxQuarantine);
+    }
+    if (crashes >= settings_.crashesBeforeShortQuarantine && isOnlyExplanation(fingerprint, record)) {
+        return settings_.shortQuarantine;
+    }
+    return Duration::zero();
+}
+
+auto CrashTracker::hasOther(const CrashId crash,
+                            const std::function<bool(Fingerprint fingerprint, const Record &record)> &matches) const
+    -> bool
+{
+    return std::ranges::any_of(running_.at(crash), [&](const Fingerprint other) {
+        const auto &record = records_.at(other);
+        return !record.crashes.at(crash) && matches(other, record);
+    });
+}
+
 auto CrashTracker::unexplainedCrashes(const Record &record) const -> std::uint32_t
 {
-    const auto isExplained = [&](const CrashId crash) {
-        return std::ranges::any_of(running_.at(crash), [&](const Fingerprint other) {
-            const auto &known = records_.at(other);
-            return known.uncleared > record.uncleared && !known.crashes.at(crash);
-        });
+    const auto hasMore = [&](Fingerprint, const Record &other) {
+        return other.uncleared > record.uncleared;
     };
     return static_cast<std::uint32_t>(std::ranges::count_if(
-        record.crashes, [&](const auto &entry) { return !entry.second && !isExplained(entry.first); }));
+        record.crashes, [&](const auto &entry) { return !entry.second && !hasOther(entry.first, hasMore); }));
+}
+
+auto CrashTracker::isOnlyExplanation(const Fingerprint fingerprint, const Record &record) const -> bool
+{
+    const auto hasAsMany = [&](const Fingerprint name, const Record &other) {
+        return name != fingerprint && other.uncleared >= record.uncleared;
+    };
+    return std::ranges::none_of(record.crashes,
+                                [&](const auto &entry) { return !entry.second && hasOther(entry.first, hasAsMany); });
 }
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/crash_tracker.hpp
+++ b/src/jasminelatch/mesh/crash_tracker.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -29,6 +30,7 @@
 struct CrashSuspicion {
     std::uint32_t crashes{}; /*!< Crashes that no other request explains better; zero for a sound request. */
     Duration quarantine{}; /*!< Time for which it must not run anywhere; zero if it may. */
+    Duration sinceCrash{}; /*!< Time since its last crash that is recorded. */
 };
 
 /**
@@ -37,7 +39,7 @@
  * Load pattern: a request crashes each instance that begins to run it, and comes again, at any node. Every crash also
  * ends requests that were only running beside it. All of them are suspected; one that an instance runs to an end is
  * cleared, and a crash does not count for a request if another one was running there that has been in more crashes. A
- * request that has been in several crashes is quarantined.
+ * request that alone explains two crashes, or has been in three, is quarantined.
  *
  * Records of nodes merge to the same result in any order. The node beside an instance records a crash with all requests
  * that were running, and sends them together: with a part of them, the one that caused it might seem to be explained.
@@ -47,8 +49,11 @@
 public:
     /*! @brief Thresholds and times. */
     struct Settings {
-        std::uint32_t crashesBeforeQuarantine{3}; /*!< Crashes after which a request is quarantined. */
-        Duration quarantine{std::chrono::minutes{10}}; /*!< First quarantine; doubles with each further crash. */
+        std::uint32_t crashesBeforeShortQuarantine{2}; /*!< Crashes after which a request is quarantined if no other
+                                                            one explains any of them as well. */
+        Duration shortQuarantine{std::chrono::minutes{1}}; /*!< That quarantine. */
+        std::uint32_t crashesBeforeQuarantine{3}; /*!< Crashes after which a request is quarantined in any case. */
+        Duration quarantine{std::chrono::minutes{10}}; /*!< First such quarantine; doubles with each further crash. */
         Duration maxQuarantine{std::chrono::hours{1}}; /*!< Upper bound of the quarantine. */
         Duration memory{std::chrono::hours{4}}; /*!< Time after its last crash for which a request is remembered. */
         std::size_t maxRecords{1024}; /*!< Largest number of requests remembered; those with fewer and older crashes
@@ -111,6 +116,11 @@
     auto noteChange(Record &record) -> void;
     auto forgetExcess() -> void;
     [[nodiscard]] auto unexplainedCrashes(const Record &record) const -> std::uint32_t;
+    [[nodiscard]] auto isOnlyExplanation(Fingerprint fingerprint, const Record &record) const -> bool;
+    [[nodiscard]] auto quarantineOf(Fingerprint fingerprint, const Record &record) const -> Duration;
+    [[nodiscard]] auto hasOther(CrashId crash,
+                                const std::function<bool(Fingerprint fingerprint, const Record &record)> &matches) const
+        -> bool;
 
     Settings settings_;
     std::map<Fingerprint, Record> records_;
--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -27,6 +27,11 @@
     slots_ = slots;
 }
 
+auto InstanceGate::setInstanceCount(const std::size_t count) -> void
+{
+    instanceCount_ = count;
+}
+
 auto InstanceGate::recordAnswer(const std::optional<double> limit, const TimePoint now) -> bool
 {
     return rateLimit_.recordAnswer(limit, now);
@@ -114,7 +119,8 @@
     if (crashes == 0) {
         return true;
     }
-    const auto most = std::max(static_cast<std::uint32_t>(settings_.suspectSlotFraction * slots_), 1U);
+    const auto used = instanceCount_ < settings_.minInstancesForSuspects ? 0.0 : settings_.suspectSlotFraction;
+    const auto most = std::max(static_cast<std::uint32_t>(used * slots_), 1U);
     return crashes == 1 ? runningAlone_ == 0 && runningSuspects_ < most : runningSuspects_ == 0;
 }
 
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -39,6 +39,8 @@
         Duration minRetryAfter{std::chrono::milliseconds{100}}; /*!< Lower bound of the retry delay after a refusal. */
         InstanceRateLimit::Settings rateLimit; /*!< Limit on requests per second. */
         double suspectSlotFraction{0.125}; /*!< Fraction of the slots for requests that may have caused a crash. */
+        std::size_t minInstancesForSuspects{8}; /*!< Instances of the service below which only one such request runs
+                                                     here, so that another crash identifies it. */
         std::size_t maxQueued{2000}; /*!< Maximum queue length; bounds the memory of queued requests. */
     };
 
@@ -83,6 +85,12 @@
      */
     auto setSlots(std::uint32_t slots) -> void;
 
+    /**
+     * @brief Sets the number of instances of the service.
+     * @param count Instances that accept requests, this one included.
+     */
+    auto setInstanceCount(std::size_t count) -> void;
+
     /**
      * @brief Applies the rate limit that an answer of the instance states.
      * @param limit Requests per second from all nodes together, or nothing.
@@ -177,6 +185,7 @@
     Settings settings_;
     InstanceRateLimit rateLimit_;
     std::uint32_t slots_{};
+    std::size_t instanceCount_{};
     std::uint64_t arrivals_{};
     std::map<QueueKey, Item> queue_;
     std::unordered_map<std::uint64_t, QueueKey> queueKeys_;
--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -94,6 +94,7 @@
 
 auto Placement::chooseForSuspect(const std::string &service,
                                  const std::span<const std::string> exclude,
+                                 const bool mustSpareCapacity,
                                  const TimePoint now) -> const Member *
 {
     std::vector<const Endpoint *> candidates;
@@ -109,7 +110,18 @@
     if (candidates.empty() || (candidates.size() == 1 && members > 1)) {
         return nullptr;
     }
-    candidates.resize((candidates.size() + settings_.membersPerTrial - 1) / settings_.membersPerTrial);
+    const auto trials = (candidates.size() + settings_.membersPerTrial - 1) / settings_.membersPerTrial;
+    auto load = 0.0;
+    auto sparedLimit = 0.0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto &endpoint = *candidates[index];
+        load += endpoint.load.running + endpoint.load.queued;
+        sparedLimit += index < trials ? 0U : limitOf(endpoint);
+    }
+    if (mustSpareCapacity && candidates.size() < members && load > settings_.maxSparedLoad * sparedLimit) {
+        return nullptr;
+    }
+    candidates.resize(trials);
     std::erase_if(candidates, [&](const Endpoint *endpoint) {
         return std::ranges::find(exclude, endpoint->member.name) != exclude.end();
     });
@@ -176,7 +188,8 @@
     ServiceCapacity capacity;
     for (const auto &[name, endpoint] : endpoints_) {
         if (endpoint.member.service == service && accepts(endpoint) && endpoint.isReachable) {
-            capacity.limit += endpoint.load.limit > 0 ? endpoint.load.limit : endpoint.member.slots;
+            ++capacity.instances;
+            capacity.limit += limitOf(endpoint);
             capacity.running += endpoint.load.running;
             capacity.queued += endpoint.load.queued;
         }
@@ -193,6 +206,11 @@
     return member.accepting && !hasDeparted;
 }
 
+auto Placement::limitOf(const Endpoint &endpoint) -> std::uint32_t
+{
+    return endpoint.load.limit > 0 ? endpoint.load.limit : endpoint.member.slots;
+}
+
 auto Placement::meanRunTime(const std::string &service) const -> Duration
 {
     Duration sum{};
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -45,6 +45,8 @@
         Duration departureMemory{std::chrono::minutes{10}}; /*!< Time for which an instance that was said to leave is
                                                                  not selected; longer than any drain. */
         std::size_t membersPerTrial{4}; /*!< One in this many instances gets requests that may crash it. */
+        double maxSparedLoad{0.8}; /*!< Fraction of the limit of the instances that are not put at risk which the load
+                                        of the service may reach. */
         double explorationFraction{0.02}; /*!< Fraction of requests sent to a random instance, so that new and
                                                recovered instances get traffic. */
     };
@@ -121,11 +123,15 @@
      * the last instance that is left of a service is spared.
      * @param service Service that runs the request.
      * @param exclude Names of members that were already tried.
+     * @param mustSpareCapacity Whether an instance is put at risk only if the others could serve the present load, as
+     * long as some instance is down.
      * @param now Current time.
      * @return The member, or null if none may be put at risk.
      */
-    [[nodiscard]] auto chooseForSuspect(const std::string &service, std::span<const std::string> exclude, TimePoint now)
-        -> const Member *;
+    [[nodiscard]] auto chooseForSuspect(const std::string &service,
+                                        std::span<const std::string> exclude,
+                                        bool mustSpareCapacity,
+                                        TimePoint now) -> const Member *;
 
     /**
      * @brief Excludes an instance that has crashed until its node reports on it.
@@ -178,6 +184,7 @@
     [[nodiscard]] auto accepts(const Endpoint &endpoint) const -> bool;
     [[nodiscard]] auto fastest(std::span<const Endpoint *const> candidates, const std::string &service, TimePoint now)
         -> const Member *;
+    [[nodiscard]] static auto limitOf(const Endpoint &endpoint) -> std::uint32_t;
     [[nodiscard]] auto meanRunTime(const std::string &service) const -> Duration;
     [[nodiscard]] auto expectedTime(const Endpoint &endpoint, Duration meanRunTime, TimePoint now) const -> double;
     static auto updateLoad(Endpoint &endpoint, const InstanceLoad &load) -> void;
--- a/src/jasminelatch/mesh/tree_admission.hpp
+++ b/src/jasminelatch/mesh/tree_admission.hpp
@@ -8,6 +8,7 @@
 
 #include <jasminelatch/core/clock.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -26,6 +27,7 @@
     double limit{}; /*!< Requests that may run at once. */
     double running{}; /*!< Requests that are running. */
     double queued{}; /*!< Requests that are waiting. */
+    std::size_t instances{}; /*!< Instances that accept requests. */
 };
 
 /**
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -210,6 +210,11 @@
     gate_.setFleetProfiles(profiles);
 }
 
+auto LocalInstance::setInstanceCount(const std::size_t count) -> void
+{
+    gate_.setInstanceCount(count);
+}
+
 auto LocalInstance::latest() const noexcept -> const mesh::InstanceReport &
 {
     return record_.report();
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -114,6 +114,12 @@
      */
     auto setFleetProfiles(const std::map<std::string, mesh::RouteProfile> &profiles) -> void;
 
+    /**
+     * @brief Sets the number of instances of the service.
+     * @param count Instances that accept requests.
+     */
+    auto setInstanceCount(std::size_t count) -> void;
+
     /*! @brief Returns the newest report that was applied. */
     [[nodiscard]] auto latest() const noexcept -> const mesh::InstanceReport &;
 
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -348,6 +348,7 @@
     fleet_.update();
     admission_.update([this](const std::string &service) { return placement_.capacity(service); }, now);
     instance_.setFleetProfiles(admission_.profiles());
+    instance_.setInstanceCount(placement_.capacity(settings_.service).instances);
     logPlan(now);
 }
 
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -28,6 +28,8 @@
 constexpr int queueWaitDivisor = 4;
 /*! @brief Shortest wait limit of a request that is sent to another instance after its queue wait has run out. */
 constexpr Duration minQueueWait = std::chrono::milliseconds{10};
+/*! @brief Time in which a crashed instance is expected back. */
+constexpr Duration restartTime = std::chrono::seconds{5};
 /*! @brief `Retry-After` of a request that may have caused a crash while too few instances are left to try it. */
 constexpr Duration suspectRetryAfter = std::chrono::seconds{2};
 /*! @brief Number of route priorities within one account priority. */
@@ -266,10 +268,12 @@
 {
     const auto now = context_.loop.now();
     auto &hop = attempt.hop;
-    if (context_.crashes.suspicion(hop.fingerprint, hop.crashes, now).crashes == 0) {
+    const auto suspicion = context_.crashes.suspicion(hop.fingerprint, hop.crashes, now);
+    if (suspicion.crashes == 0) {
         return context_.placement.choose(hop.service, attempt.tried, now);
     }
-    const auto *member = context_.placement.chooseForSuspect(hop.service, attempt.tried, now);
+    const auto *member = context_.placement.chooseForSuspect(
+        hop.service, attempt.tried, suspicion.sinceCrash < internal::restartTime, now);
     if (member == nullptr) {
         attempt.lastReply.retryAfter = std::max<Duration>(attempt.lastReply.retryAfter, internal::suspectRetryAfter);
     }
--- a/test/jasminelatch/mesh/instance_gate.cpp
+++ b/test/jasminelatch/mesh/instance_gate.cpp
@@ -177,6 +177,7 @@
 {
     InstanceGate gate{{}};
     gate.setSlots(16);
+    gate.setInstanceCount(20);
     const auto suspect = [](const std::uint64_t id, const std::uint32_t crashes) {
         auto request = item(id, 1);
         request.crashes = crashes;
@@ -201,4 +202,16 @@
     EXPECT_EQ(gate.offer(suspect(8, 2), start).kind, Kind::Run);
 }
 
+TEST(InstanceGate, OneRequestOfACrashRunsAtATimeInASmallService)
+{
+    InstanceGate gate{{}};
+    gate.setSlots(100);
+    gate.setInstanceCount(3);
+    auto suspect = item(1, 1);
+    suspect.crashes = 1;
+    EXPECT_EQ(gate.offer(suspect, start).kind, Kind::Run);
+    suspect.id = 2;
+    EXPECT_EQ(gate.offer(suspect, start).kind, Kind::Wait);
+}
+
 } // namespace jasminelatch::mesh
