--- a/review/support/stand_in.h
+++ b/review/support/stand_in.h
@@ -159,13 +159,19 @@
         close();
     }
 
+    /*! @brief Bytes that were received and belong to no message yet. */
+    [[nodiscard]] auto received() const -> std::size_t { return input_.size(); }
     [[nodiscard]] auto isOpen() const -> bool { return fd_ >= 0; }
     [[nodiscard]] auto fd() const -> int { return fd_; }
 
-    [[nodiscard]] auto connect(const std::string &ip, const int port, const double timeout = 1.0) -> bool
+    [[nodiscard]] auto
+    connect(const std::string &ip, const int port, const double timeout = 1.0, const int receiveBuffer = 0) -> bool
     {
         close();
         fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (receiveBuffer > 0) {
+            setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+        }
         fcntl(fd_, F_SETFL, O_NONBLOCK);
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -621,6 +627,10 @@
     std::function<double(const Message &request)> work = [](const Message &) {
         return 0.02;
     };
+    /*! @brief Number of bytes that are added to an answer. */
+    std::function<std::size_t(const Message &request)> size = [](const Message &) {
+        return std::size_t{0};
+    };
     /*! @brief Called before each read of a body. */
     std::function<void()> pace;
     std::function<void(const Run &run)> started;
@@ -805,8 +815,9 @@
         }
         fields.emplace_back("Response-Seal", "seal-" + *attempt);
         fields.emplace_back("Instance-Load", load());
-        return socket.send(
-                   text(isLate ? "HTTP/1.1 504 Gateway Timeout" : "HTTP/1.1 200 OK", fields, "answer to " + *attempt))
+        return socket.send(text(isLate ? "HTTP/1.1 504 Gateway Timeout" : "HTTP/1.1 200 OK",
+                                fields,
+                                "answer to " + *attempt + std::string(size(request), '.')))
             && !isLeaving;
     }
 
@@ -1154,7 +1165,7 @@
             {"spec", {{"api-keys", keys}, {"priority", 1}, {"rate-per-s", 0}, {"burst", 0}}}};
 }
 
-inline auto limits() -> Json
+inline auto limits(const std::string &idleTimeout) -> Json
 {
     return {{"resource-kind", "limits"},
             {"metadata", Json::object()},
@@ -1162,12 +1173,14 @@
              {{"max-header-bytes", 16384},
               {"max-body-bytes", 67108864},
               {"header-timeout", "3000ms"},
-              {"idle-timeout", "15000ms"}}}};
+              {"idle-timeout", idleTimeout}}}};
 }
 
-inline auto configuration(const std::string &version, std::vector<Json> resources) -> std::string
+inline auto configuration(const std::string &version,
+                          std::vector<Json> resources,
+                          const std::string &idleTimeout = "15000ms") -> std::string
 {
-    resources.push_back(limits());
+    resources.push_back(limits(idleTimeout));
     return Json{{"version", version}, {"resources", resources}}.dump();
 }
 
