--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -8,7 +8,8 @@
 constexpr double grace = 6.0;
 constexpr double lostSlack = 0.2;
 constexpr int deadlineMs = 5000; // and the route's timeout
-constexpr int clients = 24;
+constexpr int clients = 72;
+constexpr double perSecond = 12.0;
 
 auto play(Record &record, const bool isTroubled) -> int
 {
@@ -26,7 +27,7 @@
     Node back{record, "back", network.ip(2), "orders", address, folder.path()};
     auto &front = *new Instance{record, {.id = "i-front", .service = "front", .ip = entry.ip(), .control = entry.ip()}};
     auto &orders = *new Instance{
-        record, {.id = "i-orders", .service = "orders", .ip = back.ip(), .control = back.ip(), .slots = 2}};
+        record, {.id = "i-orders", .service = "orders", .ip = back.ip(), .control = back.ip(), .slots = 4}};
     orders.work = [](const Message &) {
         return 0.5;
     };
@@ -39,7 +40,7 @@
     }
     sleepFor(4.0);
 
-    // Four requests a second arrive all the while; the instance runs two to four a second.
+    // Twelve requests a second arrive all the while; the instance runs six to eight a second.
     std::atomic<bool> isOver{};
     std::atomic<int> misses{};
     std::atomic<int> checks{};
@@ -50,7 +51,7 @@
     for (auto index = 0; index < clients; ++index) {
         threads.emplace_back([&, index] {
             Client client{record, entry.ip()};
-            sleepFor(0.25 * index);
+            sleepFor(index / perSecond);
             // After two missed checks of its readiness the clients of a machine receive no new work.
             while (!isOver && misses < 2) {
                 const auto attempt = "order-" + std::to_string(++number);
@@ -65,7 +66,7 @@
                     const std::lock_guard lock{mutex};
                     replies[attempt] = std::move(reply);
                 }
-                sleepFor(std::max(0.0, start + 0.25 * clients - seconds()));
+                sleepFor(std::max(0.0, start + clients / perSecond - seconds()));
             }
         });
     }
