--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,135 +1,149 @@
-// Clients read a large answer slowly; the node takes their connections for idle and cuts the answers off.
+// A request that crashes instances is known and held back; all nodes are killed at once, and it comes again.
 #include "support/stand_in.h"
 
-#include <set>
-
 namespace {
 
 using namespace review;
 
-constexpr std::size_t answerBytes = std::size_t{16} << 20;
-constexpr int clients = 6;
-constexpr int deadlineMs = 8000;
-constexpr double pieceTime = 0.025; // for each 64 KB: 2.6 MB a second
-
-/*! @brief What a client got of a download. */
-struct Download {
-    Reply reply;
-    std::size_t bytes{};
-};
-
-auto download(Record &record, Socket &socket, const std::string &attempt, const bool isSlow) -> Download
-{
-    Download result;
-    result.reply.sentAt = seconds();
-    record.write("client  " + attempt + " GET /f/map sent on a kept connection");
-    const Fields fields{{"Host", "a.example"},
-                        {"Attempt-Id", attempt},
-                        {"Deadline-Ms", std::to_string(deadlineMs)},
-                        {"Authorization", "Bearer key-club"}};
-    static_cast<void>(socket.send(text("GET /f/map HTTP/1.1", fields, "", false)));
-    const auto end = socket.read(result.reply.answer, deadlineMs / 1000.0, [&] {
-        if (isSlow) {
-            sleepFor(pieceTime);
-        }
-    });
-    result.reply.end = end == Socket::Read::Message ? Reply::End::Answered
-                     : end == Socket::Read::Closed  ? Reply::End::Closed
-                                                    : Reply::End::Timeout;
-    result.reply.endedAt = seconds();
-    result.bytes = result.reply.status() == 200 ? result.reply.answer.body.size() : socket.received();
-    std::array<char, 96> line{};
-    std::snprintf(line.data(),
-                  line.size(),
-                  ", %.1f s after it was sent, %zu bytes of its body",
-                  result.reply.endedAt - result.reply.sentAt,
-                  result.bytes);
-    record.write("client  " + attempt + " got " + result.reply.toText() + line.data());
-    return result;
-}
+constexpr double contact = 3.0;
+constexpr int maxRetries = 3;
+constexpr std::size_t instances = 8;
+constexpr const char *deadlyTarget = "/m/report?year=all";
 
 auto play(Record &record, const bool isTroubled) -> int
 {
     const Folder folder;
     const Network network;
     auto &store = *new Store{network.ip(9), 8545};
-    store.put(
-        "op/config",
-        configuration("00000001",
-                      {route("/f/", "download", "files", "4000ms"), service("files"), tenant("club", {"key-club"})},
-                      "4000ms"));
-    const auto address = network.ip(9) + ":8545";
-    Node node{record, "node", network.ip(1), "files", address, folder.path()};
-    auto &files = *new Instance{record, {.id = "i-files", .service = "files", .ip = node.ip(), .control = node.ip()}};
-    files.size = [](const Message &request) {
-        return request.word(1) == "/f/map" ? answerBytes : 0;
+    store.put("op/config",
+              configuration("00000001",
+                            {route("/m/", "idempotent", "maps", "1500ms"),
+                             route("/o/", "non_idempotent", "maps", "3000ms"),
+                             service("maps"),
+                             tenant("club", {"key-club"})}));
+    std::deque<Node> nodes;
+    std::vector<Instance *> maps;
+    std::atomic<int> starts{};
+    for (std::size_t index = 0; index < instances; ++index) {
+        const auto number = std::to_string(index + 1);
+        const auto ip = network.ip(static_cast<int>(index) + 1);
+        nodes.emplace_back(record, "node-" + number, ip, "maps", network.ip(9) + ":8545", folder.path());
+        auto *instance = new Instance{record, {.id = "i-" + number, .service = "maps", .ip = ip, .control = ip}};
+        instance->work = [](const Message &request) {
+            return request.word(1) == "/o/1" ? 1.0 : 0.02;
+        };
+        instance->started = [&starts, instance](const Run &run) {
+            if (run.request.word(1) == deadlyTarget && instance->exit()) {
+                std::thread{[&starts, instance] {
+                    sleepFor(2.5);
+                    instance->restart("i-again-" + std::to_string(++starts));
+                }}.detach();
+            }
+        };
+        maps.push_back(instance);
+    }
+    for (std::size_t index = 0; index < instances; ++index) {
+        nodes[index].start();
+        maps[index]->startReports();
+    }
+    const auto areReady = [&] {
+        return std::ranges::all_of(nodes, [](const Node &node) { return node.isReady(); });
     };
-    node.start();
-    files.startReports();
-    if (!waitUntil([&] { return node.isReady(); }, 10.0)) {
-        throw std::runtime_error{"the node isn't ready"};
+    if (!waitUntil(areReady, 10.0)) {
+        throw std::runtime_error{"the nodes aren't ready"};
     }
     sleepFor(4.0);
 
-    std::mutex mutex;
-    std::map<std::string, Download> downloads;
-    std::vector<std::thread> threads;
-    for (auto index = 0; index < clients; ++index) {
-        threads.emplace_back([&, index] {
-            sleepFor(0.5 * index);
-            Socket socket;
-            const auto name = std::to_string(index + 1);
-            Message first;
-            if (!socket.connect(node.ip(), 8548, 1.0, 65536)
-                || !socket.send("GET /f/list HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: list-" + name
-                                + "\r\nAuthorization: Bearer key-club\r\n\r\n")
-                || socket.read(first, 5.0) != Socket::Read::Message || first.status() != 200) {
-                record.write("client  list-" + name + " got no success");
-                return;
-            }
-            auto result = download(record, socket, "map-" + name, isTroubled);
-            const std::lock_guard lock{mutex};
-            downloads["map-" + name] = std::move(result);
+    std::atomic<int> sound{};
+    std::map<std::string, double> sentAt;
+    const auto sendDeadly = [&](const std::string &name) {
+        std::vector<std::thread> threads;
+        for (std::size_t index = 0; index < instances; ++index) {
+            const auto attempt = name + "-" + std::to_string(index + 1);
+            sentAt[attempt] = seconds();
+            threads.emplace_back([&, index, attempt] {
+                Client client{record, nodes[index].ip()};
+                static_cast<void>(client.send({.attempt = attempt, .target = deadlyTarget}));
+            });
+        }
+        for (auto &thread : threads) {
+            thread.join();
+        }
+    };
+    const auto sendSound = [&](const std::string &name) {
+        for (std::size_t index = 0; index < instances; ++index) {
+            Client client{record, nodes[index].ip()};
+            const auto attempt = name + "-" + std::to_string(index + 1);
+            sound += client.send({.attempt = attempt, .target = "/m/" + attempt}).status() == 200 ? 1 : 0;
+        }
+    };
+    sendSound("sound-before");
+    // It comes at each machine, and again until it has crashed three instances.
+    for (auto count = 1; count <= 3; ++count) {
+        sendDeadly("first-" + std::to_string(count));
+        sleepFor(4.0);
+    }
+    if (isTroubled) {
+        record.write("all nodes are killed at the same moment");
+        for (auto &node : nodes) {
+            node.signal(SIGKILL);
+        }
+        for (auto &node : nodes) {
+            node.waitEnd(2.0);
+        }
+        sleepFor(1.0);
+        for (auto &node : nodes) {
+            node.start();
+        }
+        if (!waitUntil(areReady, 10.0)) {
+            throw std::runtime_error{"the nodes aren't ready again"};
+        }
+    }
+    sleepFor(contact + 3.0);
+    sendSound("sound-between");
+    // Orders are running beside it when it comes again.
+    std::atomic<int> lostOrders{};
+    std::vector<std::thread> orders;
+    for (std::size_t index = 0; index < instances; ++index) {
+        orders.emplace_back([&, index] {
+            Client client{record, nodes[index].ip()};
+            const auto reply =
+                client.send({.attempt = "order-" + std::to_string(index + 1), .method = "POST", .target = "/o/1"});
+            lostOrders += reply.status() == 200 ? 0 : 1;
         });
     }
-    auto memory = 0.0;
-    for (auto end = seconds() + deadlineMs / 1000.0; seconds() < end; sleepFor(0.02)) {
-        memory = std::max(memory, node.memory());
+    sleepFor(0.3);
+    for (auto count = 1; count <= 3; ++count) {
+        sendDeadly("again-" + std::to_string(count));
+        sleepFor(4.0);
     }
-    for (auto &thread : threads) {
+    for (auto &thread : orders) {
         thread.join();
     }
+    sendSound("sound-after");
 
-    // LOST: a request from a kept connection was passed on to a sound instance, and its connection closed without a
-    // complete answer.
-    std::set<std::string> ran;
-    for (const auto &run : files.runs()) {
-        ran.insert(run.attempt);
+    // BUDGET: it reaches instances in more than three retries later than `contact` after its third crash.
+    std::vector<Run> runs;
+    for (auto *instance : maps) {
+        std::ranges::copy_if(instance->runs(), std::back_inserter(runs), [](const Run &run) {
+            return run.request.word(1) == deadlyTarget;
+        });
     }
-    auto lost = 0;
-    auto whole = 0;
-    for (const auto &[attempt, result] : downloads) {
-        const auto isWhole = result.reply.status() == 200 && result.bytes > answerBytes;
-        whole += isWhole ? 1 : 0;
-        if (result.reply.end == Reply::End::Closed && ran.contains(attempt)) {
-            ++lost;
-            std::array<char, 96> line{};
-            std::snprintf(line.data(),
-                          line.size(),
-                          " was cut off after some %zu KB, %.1f s after it was sent",
-                          result.bytes / 1024,
-                          result.reply.endedAt - result.reply.sentAt);
-            record.write("LOST: " + attempt + line.data());
+    std::ranges::sort(runs, {}, &Run::at);
+    auto late = 0;
+    for (std::size_t index = 3; index < runs.size(); ++index) {
+        if (sentAt.at(runs[index].attempt) > runs[2].at + contact) {
+            ++late;
+            record.write("BUDGET: " + runs[index].attempt + " reached " + runs[index].instance + " and crashed it");
         }
     }
-    record.write("downloads complete: " + std::to_string(whole) + ", lost: " + std::to_string(lost) + " of "
-                 + std::to_string(clients) + ", most memory of the node: " + std::to_string(static_cast<int>(memory))
-                 + " MB");
-    if (downloads.empty()) {
+    record.write("crashes: " + std::to_string(runs.size()) + ", of them in retries later than contact after the third: "
+                 + std::to_string(late) + ", orders lost with the instances: " + std::to_string(lostOrders)
+                 + ", sound requests answered: " + std::to_string(sound) + " of " + std::to_string(3 * instances));
+    if (runs.size() < 3 || sound == 0) {
         return 2;
     }
-    constexpr auto allowed = 3;
-    return lost > allowed ? 1 : 0;
+    return late > maxRetries ? 1 : 0;
 }
 
 } // namespace
