Review, case 2: a broken rule counts also if no order succeeded

Its record shows eight orders at the leaving instance 4.8 s after the ack, all answered 502. Cause: the script asked for a success before it asked whether the rule was broken. Now the rule comes first. The check of the rule itself is unchanged.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -132,7 +132,7 @@
     }
     record.write("orders after the departure: " + std::to_string(replies.size())
                  + ", answered with success: " + std::to_string(after) + ", at i-leaving: " + std::to_string(reached));
-    return after == 0 ? 2 : reached > 0 ? 1 : 0;
+    return reached > 0 ? 1 : after == 0 ? 2 : 0;
 }
 
 } // namespace
