A stopping node withdraws requests that wait for a slot beside another node

Cause: a place in a queue was bounded by the request's deadline only. The node that ends had no means to take a queued request back, so it could not state what had become of it.

Evidence: in the record of the case five of eight cut orders start at the instance after the entry node's end, the other three were at work.

Why this works: half a second before its end the node sends a WithdrawMessage for each request; the gate refuses those that are queued as not run, which is true, and the caller gets 503. A run is not affected. What is left 50 ms before the end (a run, a silent peer) gets 502 instead of a closed connection. Queued orders of a peer whose connection has ended are dropped, also after a kill.

Ruled out: a shorter time of acceptance, which refuses callers that have not been told yet; a shorter deadline for the instance, which would end runs that can finish.

--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -114,6 +114,11 @@
     running_.erase(found);
 }
 
+auto InstanceGate::isQueued(const std::uint64_t id) const -> bool
+{
+    return queueKeys_.contains(id);
+}
+
 auto InstanceGate::maySuspectRun(const std::uint32_t crashes) const -> bool
 {
     if (crashes == 0) {
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -136,6 +136,12 @@
      */
     auto finish(std::uint64_t id, Duration runTime) -> void;
 
+    /**
+     * @brief Returns whether a request is queued.
+     * @param id Id of the request.
+     */
+    [[nodiscard]] auto isQueued(std::uint64_t id) const -> bool;
+
     /**
      * @brief Assigns free slots in queue order and drops requests that can no longer finish in time.
      * @param now Current time.
--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t lengthBytes = 4;
 constexpr std::size_t prefixBytes = 2 * lengthBytes;
 
-enum class Kind : std::uint8_t { Request, Reply, Cancel, Report, ReportAck, Probe, Configuration };
+enum class Kind : std::uint8_t { Request, Reply, Cancel, Report, ReportAck, Probe, Configuration, Withdraw };
 
 /*! @brief Frame before serialization: CBOR head and raw body. */
 struct Frame {
@@ -157,6 +157,11 @@
     return {Json::array({Kind::Cancel, message.exchange}), {}};
 }
 
+auto encode(const WithdrawMessage &message, TimePoint) -> Frame
+{
+    return {Json::array({Kind::Withdraw, message.exchange}), {}};
+}
+
 auto encodeMembers(const std::vector<Member> &members) -> Json
 {
     auto json = Json::array();
@@ -393,6 +398,8 @@
             return ProbeMessage{};
         case Kind::Configuration:
             return ConfigurationMessage{json.at(1).get<std::uint64_t>(), std::string{body}};
+        case Kind::Withdraw:
+            return WithdrawMessage{json.at(1).get<std::uint64_t>()};
         }
     } catch (const Json::exception &) {
         return std::nullopt;
--- a/src/jasminelatch/mesh/peer_message.hpp
+++ b/src/jasminelatch/mesh/peer_message.hpp
@@ -38,6 +38,12 @@
     std::uint64_t exchange{}; /*!< Id of the exchange that the message refers to. */
 };
 
+/*! @brief Cancels an exchange whose request waits for a slot; the reply says so. A request that runs is not affected.
+ */
+struct WithdrawMessage {
+    std::uint64_t exchange{}; /*!< Id of the exchange that the message refers to. */
+};
+
 /*!
  * @brief Report of a node; acknowledged by `ReportAck`, which shows that the connection is alive, unless it is itself a
  * response.
@@ -65,8 +71,14 @@
 };
 
 /*! @brief Any message on a connection between nodes. */
-using PeerMessage = std::
-    variant<RequestMessage, ReplyMessage, CancelMessage, ReportMessage, ReportAck, ProbeMessage, ConfigurationMessage>;
+using PeerMessage = std::variant<RequestMessage,
+                                 ReplyMessage,
+                                 CancelMessage,
+                                 ReportMessage,
+                                 ReportAck,
+                                 ProbeMessage,
+                                 ConfigurationMessage,
+                                 WithdrawMessage>;
 
 /**
  * @brief Serializes a message as a frame: two 4-byte big-endian lengths, a CBOR head and the body, if any.
--- a/src/jasminelatch/sidecar/fleet.cpp
+++ b/src/jasminelatch/sidecar/fleet.cpp
@@ -202,6 +202,13 @@
     }
 }
 
+auto Fleet::withdraw(const std::string &node, const std::uint64_t exchange) -> void
+{
+    if (const auto found = peers_.find(node); found != peers_.end()) {
+        found->second.link->withdraw(exchange);
+    }
+}
+
 auto Fleet::isLive(const Peer &peer) const -> bool
 {
     const auto now = context_.loop.now();
--- a/src/jasminelatch/sidecar/fleet.hpp
+++ b/src/jasminelatch/sidecar/fleet.hpp
@@ -124,6 +124,14 @@
      */
     auto cancel(const std::string &node, std::uint64_t exchange) -> void;
 
+    /**
+     * @brief Cancels a request if it waits for a slot; its reply arrives as usual. A node that is no longer known is
+     * ignored.
+     * @param node Name of the VM.
+     * @param exchange Id that `send` returned.
+     */
+    auto withdraw(const std::string &node, std::uint64_t exchange) -> void;
+
 private:
     /*! @brief Another node that has a record. */
     struct Peer {
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -205,6 +205,17 @@
     advance();
 }
 
+auto LocalInstance::withdraw(const std::uint64_t requestId) -> void
+{
+    if (!gate_.isQueued(requestId)) {
+        return;
+    }
+    gate_.finish(requestId, Duration::zero());
+    context_.loop.defer([this, requestId] {
+        complete(requestId, refusal(mesh::HopReason::Cancelled, internal::unavailableRetryAfter));
+    });
+}
+
 auto LocalInstance::setFleetProfiles(const std::map<std::string, mesh::RouteProfile> &profiles) -> void
 {
     gate_.setFleetProfiles(profiles);
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -108,6 +108,12 @@
      */
     auto cancel(std::uint64_t requestId) -> void;
 
+    /**
+     * @brief Refuses a request that is queued; one that is running is not affected.
+     * @param requestId Id that `submit` returned.
+     */
+    auto withdraw(std::uint64_t requestId) -> void;
+
     /**
      * @brief Sets the run times that the instance is compared against.
      * @param profiles Profiles of all nodes together, by route.
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -38,6 +38,11 @@
 /*! @brief Divisor of the memory limit for incoming messages: each message may be held three times while it is
  * forwarded, and half of the memory is for everything else. */
 constexpr std::size_t incomingMemoryDivisor = 6;
+/*! @brief Time before the end of a stopping node at which requests that wait for a slot are given up, so that those
+ * which have just started can finish. */
+constexpr Duration withdrawalLead = std::chrono::milliseconds{500};
+/*! @brief Time in which the last answers of a stopping node leave. */
+constexpr Duration lastAnswerLead = std::chrono::milliseconds{50};
 constexpr Duration stopCheckInterval = std::chrono::milliseconds{50};
 
 auto registrySettings(const Settings &settings) -> RegistryClient::Settings
@@ -107,6 +112,7 @@
                       const mesh::HopRequest &request,
                       std::function<void(mesh::HopReply)> done) { return send(node, request, std::move(done)); },
                [this](const std::string &node, const std::uint64_t exchange) { cancel(node, exchange); },
+               [this](const std::string &node, const std::uint64_t exchange) { withdraw(node, exchange); },
                [this] {
                    return registry_.isFresh();
                }}}
@@ -173,6 +179,13 @@
     callers_.startDraining();
     loop_->after(internal::instanceDrainDelay, [this] { closeInstance(); });
     loop_->after(internal::minDrainTime, [this] { router_.acceptUntil(endTime()); });
+    const auto timeLeft = endTime() - *stoppingSince_;
+    loop_->after(std::max<Duration>(timeLeft - internal::withdrawalLead, Duration::zero()), [this] {
+        router_.acceptUntil(endTime());
+        router_.withdrawQueued();
+    });
+    loop_->after(std::max<Duration>(timeLeft - internal::lastAnswerLead, Duration::zero()),
+                 [this] { router_.failActive(); });
     checkStopped();
 }
 
@@ -493,4 +506,13 @@
     }
 }
 
+auto Node::withdraw(const std::string &node, const std::uint64_t exchange) -> void
+{
+    if (node == settings_.name) {
+        instance_.withdraw(exchange);
+    } else {
+        fleet_.withdraw(node, exchange);
+    }
+}
+
 } // namespace jasminelatch::sidecar
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -96,6 +96,7 @@
     auto send(const std::string &node, const mesh::HopRequest &request, std::function<void(mesh::HopReply)> callback)
         -> std::uint64_t;
     auto cancel(const std::string &node, std::uint64_t exchange) -> void;
+    auto withdraw(const std::string &node, std::uint64_t exchange) -> void;
 
     event::Loop *loop_;
     Settings settings_;
--- a/src/jasminelatch/sidecar/peer_link.cpp
+++ b/src/jasminelatch/sidecar/peer_link.cpp
@@ -48,18 +48,28 @@
 
 auto PeerLink::cancel(const std::uint64_t exchange) -> void
 {
-    const auto frame = mesh::encodeFrame(mesh::CancelMessage{exchange}, loop_->now());
-    if (current_ && current_->exchanges.erase(exchange) > 0) {
-        current_->stream->write(frame);
-        return;
+    if (auto *connection = findConnection(exchange)) {
+        connection->exchanges.erase(exchange);
+        connection->stream->write(mesh::encodeFrame(mesh::CancelMessage{exchange}, loop_->now()));
+        closeIfFinished(*connection);
     }
-    for (const auto &connection : silent_) {
-        if (connection->exchanges.erase(exchange) > 0) {
-            connection->stream->write(frame);
-            closeIfFinished(*connection);
-            return;
-        }
+}
+
+auto PeerLink::withdraw(const std::uint64_t exchange) -> void
+{
+    if (auto *connection = findConnection(exchange)) {
+        connection->stream->write(mesh::encodeFrame(mesh::WithdrawMessage{exchange}, loop_->now()));
+    }
+}
+
+auto PeerLink::findConnection(const std::uint64_t exchange) -> Connection *
+{
+    if (current_ && current_->exchanges.contains(exchange)) {
+        return current_.get();
     }
+    const auto found =
+        std::ranges::find_if(silent_, [&](const auto &connection) { return connection->exchanges.contains(exchange); });
+    return found == silent_.end() ? nullptr : found->get();
 }
 
 auto PeerLink::sendReport(const std::string_view changes, const std::function<std::string_view()> &fullReport) -> bool
--- a/src/jasminelatch/sidecar/peer_link.hpp
+++ b/src/jasminelatch/sidecar/peer_link.hpp
@@ -85,6 +85,12 @@
      */
     auto cancel(std::uint64_t exchange) -> void;
 
+    /**
+     * @brief Tells the peer to refuse the request of an exchange if it is queued; its reply arrives as usual.
+     * @param exchange Id that `send` returned.
+     */
+    auto withdraw(std::uint64_t exchange) -> void;
+
     /**
      * @brief Sends a report: a full one first on each connection, incremental ones from then on.
      * @param changes Frame of the changes since the last report.
@@ -128,6 +134,7 @@
     };
 
     [[nodiscard]] auto connect() -> bool;
+    [[nodiscard]] auto findConnection(std::uint64_t exchange) -> Connection *;
     auto receive(Connection &connection, std::span<const char> bytes) -> void;
     auto handleClosed(Connection &connection) -> void;
     auto closeIfFinished(const Connection &connection) -> void;
--- a/src/jasminelatch/sidecar/peer_server.cpp
+++ b/src/jasminelatch/sidecar/peer_server.cpp
@@ -77,6 +77,12 @@
         }
         return true;
     }
+    if (const auto *withdrawal = std::get_if<mesh::WithdrawMessage>(&message)) {
+        if (const auto found = peer.exchanges.find(withdrawal->exchange); found != peer.exchanges.end()) {
+            instance_->withdraw(found->second.requestId);
+        }
+        return true;
+    }
     if (const auto *report = std::get_if<mesh::ReportMessage>(&message)) {
         const auto now = loop_->now();
         const auto isOwn = report->report.kind == mesh::ReportKind::Own;
@@ -121,9 +127,11 @@
     const auto exchanges = std::move(found->second.exchanges);
     sessions_.erase(found);
     for (const auto &[exchange, pending] : exchanges) {
-        // Non-idempotent requests run on: cancelling one midway would help no client.
+        // Non-idempotent requests that are running run on: cancelling one midway would help no client.
         if (pending.idempotent) {
             instance_->cancel(pending.requestId);
+        } else {
+            instance_->withdraw(pending.requestId);
         }
     }
 }
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -117,6 +118,42 @@
     end_ = end;
 }
 
+auto RequestRouter::withdrawQueued() -> void
+{
+    isWithdrawing_ = true;
+    for (const auto requestId : activeIds()) {
+        if (const auto found = attempts_.find(requestId); found != attempts_.end()) {
+            hooks_.withdraw(found->second.node, found->second.exchange);
+        }
+    }
+}
+
+auto RequestRouter::failActive() -> void
+{
+    for (const auto requestId : activeIds()) {
+        const auto found = attempts_.find(requestId);
+        if (found == attempts_.end()) {
+            continue;
+        }
+        auto &attempt = found->second;
+        attempt.mayHaveRun = true;
+        attempt.lastReply.reason = mesh::HopReason::Lost;
+        // A non-idempotent request that is running runs on, as after any other end of this node.
+        if (attempt.hop.idempotent) {
+            cancelExchange(attempt);
+        }
+        fail(requestId, "node_stopped");
+    }
+}
+
+auto RequestRouter::activeIds() const -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> ids;
+    ids.reserve(attempts_.size());
+    std::ranges::transform(attempts_, std::back_inserter(ids), [](const auto &attempt) { return attempt.first; });
+    return ids;
+}
+
 auto RequestRouter::activeRequests() const -> std::size_t
 {
     return attempts_.size();
@@ -338,7 +375,7 @@
 {
     const auto now = context_.loop.now();
     const auto quarantine = context_.crashes.suspicion(attempt.hop.fingerprint, {}, now).quarantine;
-    if (now >= attempt.hop.deadline || quarantine > Duration::zero()) {
+    if (isWithdrawing_ || now >= attempt.hop.deadline || quarantine > Duration::zero()) {
         return false;
     }
     switch (mesh::retryPermission(
@@ -378,7 +415,8 @@
     if (!attempt.mayHaveRun && !attempt.hop.account.empty()) {
         context_.caps.refund(attempt.hop.account);
     }
-    const auto retryAfter = std::max(attempt.lastReply.retryAfter, mesh::minRetryAfter);
+    const auto untilEnd = isWithdrawing_ && end_ ? *end_ - now : Duration::zero();
+    const auto retryAfter = std::max({attempt.lastReply.retryAfter, untilEnd, mesh::minRetryAfter});
     finish(requestId, makeAnswer(status, attempt.mayHaveRun ? Duration::zero() : retryAfter));
 }
 
--- a/src/jasminelatch/sidecar/request_router.hpp
+++ b/src/jasminelatch/sidecar/request_router.hpp
@@ -60,6 +60,8 @@
                                     std::function<void(mesh::HopReply reply)> finished)>
             send;
         std::function<void(const std::string &node, std::uint64_t exchange)> cancel; /*!< Cancels an exchange. */
+        /*! @brief Cancels an exchange whose request waits for a slot; its reply says that it has not run. */
+        std::function<void(const std::string &node, std::uint64_t exchange)> withdraw;
         /*! @brief Tells whether the store has confirmed the configuration recently. */
         std::function<bool()> isConfigurationFresh;
     };
@@ -102,6 +104,16 @@
      */
     auto acceptUntil(TimePoint end) -> void;
 
+    /*!
+     * @brief Withdraws all requests that wait for a slot, and sends no request to a further node from now on.
+     *
+     * Load pattern: a node stops while the service that its requests need has a queue which outlasts the node.
+     */
+    auto withdrawQueued() -> void;
+
+    /*! @brief Answers all requests that are still active, since this node ends now. */
+    auto failActive() -> void;
+
     /*! @brief Returns the number of requests that are not answered yet. */
     [[nodiscard]] auto activeRequests() const -> std::size_t;
 
@@ -145,6 +157,7 @@
     auto cancelExchange(const Attempt &attempt) -> void;
     auto handleReply(std::uint64_t requestId, mesh::HopReply reply) -> void;
     auto noteDeparture(const Attempt &attempt, const mesh::Answer &answer) -> void;
+    [[nodiscard]] auto activeIds() const -> std::vector<std::uint64_t>;
     [[nodiscard]] auto mayRetry(const Attempt &attempt, const mesh::HopReply &reply) -> bool;
     auto fail(std::uint64_t requestId, std::string_view reason) -> void;
     auto handleTimeout(std::uint64_t requestId) -> void;
@@ -161,6 +174,7 @@
     /*! @brief Current weights of smooth weighted round robin, by route and then by service. */
     std::map<std::string, std::map<std::string, double>> splitWeights_;
     std::optional<TimePoint> end_; /*!< When this node ends; nothing while it accepts every request. */
+    bool isWithdrawing_{}; /*!< Whether a request that has not run is refused instead of being sent once more. */
 };
 
 /**
--- a/test/jasminelatch/mesh/peer_message.cpp
+++ b/test/jasminelatch/mesh/peer_message.cpp
@@ -34,8 +34,8 @@
     reply.exchange = 9;
     reply.reply.outcome = HopOutcome::Answered;
     reply.reply.answer = {200, "OK", {{"A", "b"}}, body};
-    const auto bytes =
-        encodeFrame(requestMessage(body), start) + encodeFrame(reply, start) + encodeFrame(CancelMessage{7}, start);
+    const auto bytes = encodeFrame(requestMessage(body), start) + encodeFrame(reply, start)
+                     + encodeFrame(CancelMessage{7}, start) + encodeFrame(WithdrawMessage{8}, start);
     FrameReader reader{maxFrame};
     std::vector<PeerMessage> seen;
     for (std::size_t at = 0; at < bytes.size();) {
@@ -47,7 +47,7 @@
         RC_ASSERT(isValid);
         at += size;
     }
-    RC_ASSERT(seen.size() == 3U);
+    RC_ASSERT(seen.size() == 4U);
     const auto &request = std::get<RequestMessage>(seen[0]).request;
     RC_ASSERT(request.request.body == body);
     RC_ASSERT(request.request.target == "/a/?b=%20c");
@@ -56,6 +56,7 @@
     RC_ASSERT(request.waitLimit == Duration{90ms});
     RC_ASSERT(std::get<ReplyMessage>(seen[1]).reply.answer.body == body);
     RC_ASSERT(std::get<CancelMessage>(seen[2]).exchange == 7U);
+    RC_ASSERT(std::get<WithdrawMessage>(seen[3]).exchange == 8U);
 }
 
 RC_GTEST_PROP(FrameReader, DoesNotCrashOnArbitraryInput, (const std::string &bytes))
