Keep the departure of an instance in an item of its own, written before it is acknowledged

Orders reached the instance 4.8 s after the acknowledgement and were lost when it exited.

Cause: the departure was kept in the node's record, which is bound to the process: a planned stop removed it, its lease ended 10 s after a kill, and the first process after a kill wrote it anew without the departure. Besides, the acknowledgement did not wait for the write, reports were believed before the store had answered, and a health check that said "leaving" was dropped while no report had named the instance.

Why this works: the departure is an item without a lease that only a later departure replaces. It is in the store before the 200; a store that does not take it within 0.9 s makes the answer a 503, and the instance reports again. The first write of the next process expects neither record nor departure and so reads it in the same call; no report makes an instance usable before that, or, if the store is away for 2 s, before a health check succeeds. Writes expect the revision before them, as one whose answer was lost may be executed later.

Store calls: one write a departure, as before, two if the VM had one in the last hour. The first relay removes items after an hour. NodeTest.ADepartureThatARestoredStoreHasLostIsWrittenAgain looked for the departure in the record; it requires the same of the new item. PlatformStore compares revisions now instead of existence only.

--- a/src/jasminelatch/mesh/instance_record.cpp
+++ b/src/jasminelatch/mesh/instance_record.cpp
@@ -24,6 +24,7 @@
     if (sameStart && isDeregistration) {
         // A deregistration carries no sequence number and no slots.
         report_.state = report.state;
+        report_.startTimeMs = std::max(report_.startTimeMs, report.startTimeMs);
         return true;
     }
     if (isDeregistration && !report_.id.empty() && report.id != report_.id) {
--- a/src/jasminelatch/sidecar/dialect.hpp
+++ b/src/jasminelatch/sidecar/dialect.hpp
@@ -68,10 +68,19 @@
     std::function<mesh::Request(std::uint64_t lease)> renewLease;
     std::function<std::optional<StoreLease>(const mesh::Answer &answer)> readLease;
     std::function<mesh::Request(std::string_view key, std::string_view value, std::uint64_t lease)> put;
-    /*! @brief Writes an item only if it does not exist; otherwise the store answers 412 with the existing item. */
-    std::function<mesh::Request(std::string_view key, std::string_view value, std::uint64_t lease)> putIfAbsent;
+    /*! @brief Writes an item only if neither it nor another one exists; otherwise the store answers 412 with those that
+     * exist. */
+    std::function<mesh::Request(
+        std::string_view key, std::string_view other, std::string_view value, std::uint64_t lease)>
+        putIfAbsent;
     std::function<std::optional<std::vector<StoreItem>>(const mesh::Answer &answer)> readConflict;
     std::function<mesh::Request(std::string_view key)> remove;
+    /*! @brief Writes an item, or removes it if there is no value, only if its revision is still the given one (zero if
+     * it does not exist); otherwise the store answers 412 with the existing item. */
+    std::function<mesh::Request(std::string_view key, const std::optional<std::string> &value, std::uint64_t revision)>
+        replace;
+    /*! @brief Reads the revision of a change from its answer. */
+    std::function<std::optional<std::uint64_t>(const mesh::Answer &answer)> readRevision;
     /*! @brief Reads how often the store has been replaced by an older copy; revisions of different eras do not compare.
      * Nothing if the answer does not tell. */
     std::function<std::optional<std::uint64_t>(const mesh::Answer &answer)> readEra;
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -31,6 +31,10 @@
 /*! @brief Interval between log lines while the instance limits its rate. */
 constexpr Duration rateLimitLogInterval = std::chrono::seconds{1};
 
+/*! @brief Time after which another health query is sent while one is not answered; an instance may hold it in its
+ * queue.
+ */
+constexpr Duration healthQueryInterval = std::chrono::seconds{2};
 /*! @brief Maximum length of a request target in a log line. */
 constexpr std::size_t maxLoggedTarget = 100;
 
@@ -62,9 +66,14 @@
 auto LocalInstance::report(const mesh::InstanceReport &report) -> bool
 {
     const auto before = record_.report();
+    if (isLeavingUnnamed_ && report.state == mesh::InstanceState::Ready) {
+        // It may have been sent before the instance began to leave.
+        return false;
+    }
     if (!record_.apply(report)) {
         return false;
     }
+    isLeavingUnnamed_ = false;
     const auto &latest = record_.report();
     if (!before.id.empty() && !mesh::isSameStart(before, latest)) {
         gate_.resetRateLimit();
@@ -100,15 +109,23 @@
 auto LocalInstance::queryHealth(const std::string &path, std::function<void(const mesh::InstanceReport &report)> found)
     -> void
 {
+    const auto now = context_.loop.now();
+    if (healthQueriedAt_ && now - *healthQueriedAt_ < internal::healthQueryInterval) {
+        return;
+    }
+    healthQueriedAt_ = now;
     const mesh::Request request{"GET", path, {{"Host", event::toText(address_)}}, {}};
     pool_.send(request, true, [this, found = std::move(found)](const HttpConnection::Result &result) {
+        healthQueriedAt_.reset();
         if (result.answer && updateCondition(*result.answer)) {
+            isLeavingUnnamed_ = record_.report().id.empty();
             markLeaving();
             return;
         }
         const auto report = result.answer ? context_.dialect.readHealth(*result.answer) : std::nullopt;
         context_.log.write("instance_asked", {{"healthy", report.has_value()}, {"error", result.error}});
         if (report) {
+            isLeavingUnnamed_ = false;
             found(*report);
         }
     });
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -70,13 +70,15 @@
     /**
      * @brief Applies a report of the instance.
      * @param report Report of its id, state and slots.
-     * @return False if the report is out of date and was ignored.
+     * @return False if the report was ignored: it is out of date, or the health endpoint says that an instance which is
+     * not known yet is leaving.
      */
     auto report(const mesh::InstanceReport &report) -> bool;
 
     /**
      * @brief Queries the health endpoint of the instance, so that a node that starts beside a running instance need not
-     * wait for its next report, and learns a rate limit before it sends requests.
+     * wait for its next report, and learns a rate limit before it sends requests. Ignored if one has
+     * just been sent and is not answered yet.
      * @param path Path of the health endpoint.
      * @param found Called with the report in the response if the instance is healthy.
      */
@@ -195,6 +197,8 @@
     std::uint64_t startedSinceLog_{}; /*!< Requests sent since the last log line on the rate limit. */
     TimePoint rateLimitLoggedAt_;
     bool stopped_{};
+    std::optional<TimePoint> healthQueriedAt_; /*!< When the health query under way was sent. */
+    bool isLeavingUnnamed_{}; /*!< Whether an instance that has not reported its id yet says that it is leaving. */
     bool isDown_{}; /*!< Whether the instance accepts no connections. */
     mesh::CrashId crash_{}; /*!< Crash of the present start; zero if it has not crashed. */
     std::vector<mesh::Fingerprint> lost_; /*!< Requests lost since the last crash check began. */
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -1,6 +1,7 @@
 #include "node.hpp"
 
 #include "metrics_text.hpp"
+#include "store_keys.hpp"
 #include "wall_clock.hpp"
 
 #include <algorithm>
@@ -33,6 +34,10 @@
 constexpr Duration minDrainTime = std::chrono::milliseconds{2600};
 /*! @brief Time for which a stopping node forwards requests to its instance, which may keep running. */
 constexpr Duration instanceDrainDelay = std::chrono::milliseconds{2000};
+/*! @brief Time for which an instance that reports is not used while the store has not shown whether it has departed. */
+constexpr Duration departureWait = std::chrono::seconds{2};
+/*! @brief Time for which the acknowledgement of a departure waits for the store; instances wait a second for it. */
+constexpr Duration acknowledgementWait = std::chrono::milliseconds{900};
 /*! @brief Part of the grace period that is reserved for the shutdown itself. */
 constexpr Duration graceMargin = std::chrono::milliseconds{400};
 /*! @brief Divisor of the memory limit for incoming messages: each message may be held three times while it is
@@ -86,7 +91,10 @@
     , instance_{{loop, dialect_, log_, counters_, learner_, budget_, crashes_},
                 settings_.instance,
                 settings_.service,
-                {[this] { publishOwnMember(); },
+                {[this] {
+                     publishOwnMember();
+                     recordDeparture();
+                 },
                  [this] {
                      fleet_.sendReports();
                  }}}
@@ -95,10 +103,12 @@
                 internal::registrySettings(settings_),
                 {[this](mesh::Configuration configuration) { applyConfiguration(std::move(configuration)); },
                  [this](const mesh::Member &member) { fleet_.updateMember(member); },
-                 [this](const std::optional<mesh::Member> &record) { handlePreviousRecord(record); },
-                 [this](const std::set<std::string> &names) {
-                     fleet_.dropUnlistedPeers(names);
+                 [this](const std::optional<mesh::InstanceDeparture> &departure) { handleDepartureKnown(departure); },
+                 [this](const std::set<std::string> &names) { fleet_.dropUnlistedPeers(names); },
+                 [this] {
+                     writer_.rewriteAll();
                  }}}
+    , writer_{{loop, dialect_, log_, counters_}, settings_.store, {}}
     , fleet_{{loop, log_, placement_, caps_, retryBudget_, admission_, registry_, crashes_},
              ownMember(),
              {[this] { return ownReport(); },
@@ -133,7 +143,13 @@
                 &budget_}}
     , ready_{loop, HttpServer::synchronousHooks([this](const mesh::Request &) { return answerReady(); })}
     , reports_{loop,
-               HttpServer::synchronousHooks([this](const mesh::Request &request) { return answerReport(request); })}
+               {[this](const mesh::Request &request, HttpServer::Respond respond) {
+                    handleReport(request, std::move(respond));
+                    return std::uint64_t{0};
+                },
+                [](std::uint64_t) {},
+                [] { return mesh::Limits{}; },
+                nullptr}}
     , metrics_{loop, HttpServer::synchronousHooks([this](const mesh::Request &) { return answerMetrics(); })}
 {
 }
@@ -163,8 +179,15 @@
         log_.write("unexpected_error", {{"error", failure.what()}});
     });
     log_.write("start", {{"version", JASMINELATCH_VERSION}, {"incarnation", incarnation_}});
+    openedAt_ = loop_->now();
     registry_.setOwnRecord(storedRecord());
     registry_.start();
+    // While the store is away, the instance's own word decides whether it is used.
+    loop_->after(internal::departureWait, [this] {
+        if (!registry_.knowsDeparture()) {
+            probeInstance();
+        }
+    });
     scheduleReport();
     return std::nullopt;
 }
@@ -219,19 +242,63 @@
     return answer;
 }
 
-auto Node::answerReport(const mesh::Request &request) -> mesh::Answer
+auto Node::handleReport(const mesh::Request &request, HttpServer::Respond respond) -> void
 {
     std::string error;
     const auto report = dialect_.readReport(request, error);
     if (!report || (report->state != mesh::InstanceState::Gone && report->service != settings_.service)) {
         log_.write("report_rejected", {{"error", error.empty() ? "report names another service" : error}});
-        return makeAnswer(internal::statusBadRequest, {});
+        respond(makeAnswer(internal::statusBadRequest, {}));
+        return;
+    }
+    if (mustHold(*report)) {
+        heldReport_ = *report;
+    } else {
+        applyInstanceReport(withKnownDeparture(*report));
+    }
+    if (instance_.latest().id.empty()) {
+        probeInstance();
+    }
+    acknowledge(*report, std::move(respond));
+}
+
+auto Node::mustHold(const mesh::InstanceReport &report) const -> bool
+{
+    if (report.state != mesh::InstanceState::Ready || registry_.knowsDeparture() || !instance_.latest().id.empty()) {
+        return false;
     }
-    applyInstanceReport(withKnownDeparture(*report));
+    // A late report must not bring back an instance whose departure an earlier process has acknowledged.
+    return loop_->now() - openedAt_ < internal::departureWait || canProbe();
+}
+
+auto Node::acknowledge(const mesh::InstanceReport &report, HttpServer::Respond respond) -> void
+{
     auto answer = makeAnswer(internal::statusOk, {});
     answer.fields.push_back({"Content-Type", "application/json"});
     answer.body = "{}";
-    return answer;
+    const auto &latest = instance_.latest();
+    if (report.state == mesh::InstanceState::Ready || report.id != latest.id
+        || latest.state == mesh::InstanceState::Ready) {
+        respond(std::move(answer));
+        return;
+    }
+    recordDeparture();
+    // The acknowledgement promises that no request reaches the instance, whatever happens to this process.
+    writer_.whenStored(storeKey(departurePrefix, settings_.name),
+                       internal::acknowledgementWait,
+                       [respond = std::move(respond), answer = std::move(answer)](const bool isStored) {
+                           respond(isStored ? answer : makeAnswer(internal::statusUnavailable, mesh::minRetryAfter));
+                       });
+}
+
+auto Node::recordDeparture() -> void
+{
+    const auto &latest = instance_.latest();
+    if (recorded_.instanceId == latest.id && recorded_.startTimeMs == latest.startTimeMs) {
+        return;
+    }
+    recorded_ = {latest.id, latest.startTimeMs, wallClockMilliseconds()};
+    writer_.put(storeKey(departurePrefix, settings_.name), mesh::encodeDeparture(recorded_));
 }
 
 auto Node::applyInstanceReport(const mesh::InstanceReport &report) -> void
@@ -255,15 +322,12 @@
 
 auto Node::probeInstance() -> void
 {
-    if (!configuration_ || !instance_.isAwaitingFirstAnswer()) {
+    if (!canProbe() || (!instance_.isAwaitingFirstAnswer() && !instance_.latest().id.empty())) {
         return;
     }
-    const auto *service = configuration_->findService(settings_.service);
-    if (service == nullptr || service->healthPath.empty()) {
-        return;
-    }
-    instance_.queryHealth(service->healthPath, [this](const mesh::InstanceReport &report) {
-        if (registry_.knowsPreviousRecord()) {
+    const auto &path = configuration_->findService(settings_.service)->healthPath;
+    instance_.queryHealth(path, [this](const mesh::InstanceReport &report) {
+        if (registry_.knowsDeparture() || loop_->now() - openedAt_ >= internal::departureWait) {
             applyUnlessDeparted(report);
         } else {
             healthReport_ = report;
@@ -271,15 +335,24 @@
     });
 }
 
-auto Node::handlePreviousRecord(const std::optional<mesh::Member> &record) -> void
+auto Node::canProbe() const -> bool
 {
-    previousRecord_ = record;
+    const auto *service = configuration_ ? configuration_->findService(settings_.service) : nullptr;
+    return service != nullptr && !service->healthPath.empty();
+}
+
+auto Node::handleDepartureKnown(const std::optional<mesh::InstanceDeparture> &departure) -> void
+{
+    departure_ = departure;
     if (hasDeparted(instance_.latest())) {
         instance_.markLeaving();
     }
     if (const auto report = std::exchange(healthReport_, std::nullopt)) {
         applyUnlessDeparted(*report);
     }
+    if (const auto report = std::exchange(heldReport_, std::nullopt)) {
+        applyInstanceReport(withKnownDeparture(*report));
+    }
 }
 
 auto Node::applyUnlessDeparted(const mesh::InstanceReport &report) -> void
@@ -301,8 +374,7 @@
 
 auto Node::hasDeparted(const mesh::InstanceReport &report) const -> bool
 {
-    return previousRecord_ && !previousRecord_->accepting && previousRecord_->instanceId == report.id
-        && (report.startTimeMs == 0 || report.startTimeMs == previousRecord_->instanceStartMs);
+    return departure_ && mesh::covers(*departure_, report);
 }
 
 auto Node::applyConfiguration(mesh::Configuration configuration) -> void
@@ -431,15 +503,14 @@
 
 auto Node::storedRecord() const -> mesh::Member
 {
-    // Peers learn the instance's state from reports; only its departure must be preserved for the next process.
+    // Peers learn the instance's state from reports; its departure has an item of its own.
     auto member = ownMember();
     member.version = 0;
     member.coldStartRemaining = Duration::zero();
     member.accepting = false;
-    if (instance_.isAccepting()) {
-        member.instanceId.clear();
-        member.slots = 0;
-    }
+    member.instanceId.clear();
+    member.instanceStartMs = 0;
+    member.slots = 0;
     return member;
 }
 
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -11,11 +11,13 @@
 #include "registry_client.hpp"
 #include "request_router.hpp"
 #include "settings.hpp"
+#include "store_writer.hpp"
 
 #include <jasminelatch/core/clock.hpp>
 #include <jasminelatch/core/counters.hpp>
 #include <jasminelatch/event/loop.hpp>
 #include <jasminelatch/mesh/call_learner.hpp>
+#include <jasminelatch/mesh/instance_departure.hpp>
 #include <jasminelatch/mesh/member.hpp>
 #include <jasminelatch/mesh/placement.hpp>
 #include <jasminelatch/mesh/retry_budget.hpp>
@@ -71,14 +73,18 @@
 private:
     [[nodiscard]] auto answerReady() const -> mesh::Answer;
     [[nodiscard]] auto answerMetrics() const -> mesh::Answer;
-    [[nodiscard]] auto answerReport(const mesh::Request &request) -> mesh::Answer;
+    auto handleReport(const mesh::Request &request, HttpServer::Respond respond) -> void;
+    [[nodiscard]] auto mustHold(const mesh::InstanceReport &report) const -> bool;
+    auto acknowledge(const mesh::InstanceReport &report, HttpServer::Respond respond) -> void;
+    auto recordDeparture() -> void;
+    [[nodiscard]] auto canProbe() const -> bool;
     auto applyConfiguration(mesh::Configuration configuration) -> void;
     auto probeInstance() -> void;
     auto applyUnlessDeparted(const mesh::InstanceReport &report) -> void;
     [[nodiscard]] auto hasDeparted(const mesh::InstanceReport &report) const -> bool;
     [[nodiscard]] auto withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport;
     auto applyInstanceReport(const mesh::InstanceReport &report) -> void;
-    auto handlePreviousRecord(const std::optional<mesh::Member> &record) -> void;
+    auto handleDepartureKnown(const std::optional<mesh::InstanceDeparture> &departure) -> void;
     auto publishOwnMember() -> void;
     auto tick() -> void;
     auto logPlan(TimePoint now) -> void;
@@ -113,6 +119,7 @@
     mesh::CrashTracker crashes_;
     LocalInstance instance_;
     RegistryClient registry_;
+    StoreWriter writer_;
     Fleet fleet_;
     RequestRouter router_;
     PeerServer peerServer_;
@@ -121,8 +128,11 @@
     HttpServer reports_;
     HttpServer metrics_;
     std::shared_ptr<const mesh::ConfigurationIndex> configuration_;
-    std::optional<mesh::InstanceReport> healthReport_; /*!< Held back until the previous process's record is known. */
-    std::optional<mesh::Member> previousRecord_; /*!< Record that the previous process left. */
+    std::optional<mesh::InstanceReport> healthReport_; /*!< Held back until an earlier departure is known. */
+    std::optional<mesh::InstanceReport> heldReport_; /*!< Latest report of a ready instance, held back likewise. */
+    std::optional<mesh::InstanceDeparture> departure_; /*!< Departure that an earlier process acknowledged. */
+    mesh::InstanceDeparture recorded_; /*!< Departure that this process has recorded last. */
+    TimePoint openedAt_;
     std::optional<TimePoint> stoppingSince_;
     std::uint64_t recordVersion_{1};
     bool isEarlyReportScheduled_{}; /*!< Whether a report ahead of the regular interval is scheduled. */
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -1,5 +1,8 @@
 #include "registry_client.hpp"
 
+#include "store_keys.hpp"
+#include "wall_clock.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,8 +10,8 @@
 
 namespace internal {
 
-/*! @brief Key prefix of node records in the store. */
-constexpr std::string_view recordPrefix = "jasminelatch/nodes/";
+/*! @brief Time for which a departure is kept; instances that leave end within minutes. */
+constexpr Duration departureMemory = std::chrono::hours{1};
 /*! @brief Wait of a watch that serves as a poll and returns what has changed so far. */
 constexpr Duration pollWait = std::chrono::milliseconds{1};
 /*! @brief Rank of a node that is not a relay: it polls the store only if no confirmation arrives from relays. */
@@ -22,11 +25,6 @@
 constexpr unsigned statusHistoryGone = 410;
 constexpr unsigned statusConflict = 412;
 
-auto recordKey(const std::string &name) -> std::string
-{
-    return std::string{recordPrefix} + name;
-}
-
 auto isOk(const HttpConnection::Result &result) -> bool
 {
     return result.answer && result.answer->status == statusOk;
@@ -66,16 +64,16 @@
     writeRecord();
 }
 
-auto RegistryClient::knowsPreviousRecord() const -> bool
+auto RegistryClient::knowsDeparture() const -> bool
 {
-    return knowsPreviousRecord_;
+    return knowsDeparture_;
 }
 
 auto RegistryClient::deregister() -> void
 {
     isLeaving_ = true;
     if (ownRecord_ && !writtenRecord_.empty()) {
-        const auto key = internal::recordKey(ownRecord_->name);
+        const auto key = storeKey(recordPrefix, ownRecord_->name);
         callChannel_.call(context_.dialect.store.remove(key), settings_.callTimeout, [this](const auto &result) {
             if (!internal::isOk(result)) {
                 context_.log.write("record_not_removed", {{"error", result.error}});
@@ -231,7 +229,7 @@
     }
     context_.counters.add("store.list_records");
     // The first listing reads the configuration as well.
-    const auto prefix = isFirstListing_ ? std::string_view{} : internal::recordPrefix;
+    const auto prefix = isFirstListing_ ? std::string_view{} : ownPrefix;
     callChannel_.call(context_.dialect.store.list(prefix, after, true),
                       settings_.callTimeout,
                       [this](const auto &result) { handleRecordListing(result); });
@@ -439,11 +437,16 @@
         }
         return;
     }
-    if (!item.key.starts_with(internal::recordPrefix)) {
+    if (item.key.starts_with(departurePrefix)) {
+        const auto departure = mesh::decodeDeparture(item.value);
+        removeIfExpired(item, departure ? departure->recordedMs : 0, internal::departureMemory);
+        return;
+    }
+    if (!item.key.starts_with(recordPrefix)) {
         return;
     }
     const auto member = mesh::decodeMember(item.value);
-    if (!member || item.key != internal::recordKey(member->name)) {
+    if (!member || item.key != storeKey(recordPrefix, member->name)) {
         context_.log.write("record_unreadable", {{"key", item.key}, {"revision", item.revision}});
         return;
     }
@@ -451,6 +454,23 @@
     hooks_.memberListed(*member);
 }
 
+auto RegistryClient::removeIfExpired(const StoreItem &item, const std::uint64_t recordedMs, const Duration memory)
+    -> void
+{
+    const auto memoryMs = static_cast<std::uint64_t>(memory / std::chrono::milliseconds{1});
+    // One node is enough.
+    if (relayRank_ != 0 || !isWatching_ || wallClockMilliseconds() < recordedMs + memoryMs) {
+        return;
+    }
+    // The revision guards against the loss of a newer value, as the listing may be old.
+    callChannel_.call(
+        context_.dialect.store.replace(item.key, std::nullopt, item.revision),
+        settings_.callTimeout,
+        [this, key = item.key](const auto &result) {
+            context_.log.write("expired_item_removed", {{"key", key}, {"status", internal::statusOf(result)}});
+        });
+}
+
 auto RegistryClient::applyConfiguration(const StoreItem &item) -> std::optional<std::uint64_t>
 {
     std::string error;
@@ -508,6 +528,7 @@
     }
     // The id of the lost lease may be granted to another node.
     replaceLease();
+    hooks_.storeRestored();
 }
 
 auto RegistryClient::confirm(const TimePoint sentAt) -> void
@@ -619,9 +640,11 @@
     }
     isWritingRecord_ = true;
     context_.counters.add("store.put");
-    const auto key = internal::recordKey(ownRecord_->name);
+    const auto key = storeKey(recordPrefix, ownRecord_->name);
+    const auto departureKey = storeKey(departurePrefix, ownRecord_->name);
     const auto &store = context_.dialect.store;
-    callChannel_.call(knowsPreviousRecord_ ? store.put(key, text, lease_) : store.putIfAbsent(key, text, lease_),
+    callChannel_.call(knowsDeparture_ ? store.put(key, text, lease_)
+                                      : store.putIfAbsent(key, departureKey, text, lease_),
                       settings_.callTimeout,
                       [this, text, lease = lease_](const auto &result) { handleRecordWrite(result, text, lease); });
 }
@@ -638,13 +661,13 @@
     }
     if (internal::isOk(result)) {
         writtenRecord_ = written;
-        if (!knowsPreviousRecord_) {
-            setPreviousRecord(std::nullopt);
+        if (!knowsDeparture_) {
+            setDeparture(std::nullopt);
         }
         writeRecord();
         return;
     }
-    if (internal::statusOf(result) == internal::statusConflict && !knowsPreviousRecord_) {
+    if (internal::statusOf(result) == internal::statusConflict && !knowsDeparture_) {
         handleRecordConflict(*result.answer);
         writeRecord();
         return;
@@ -658,28 +681,39 @@
 auto RegistryClient::handleRecordConflict(const mesh::Answer &answer) -> void
 {
     const auto items = context_.dialect.store.readConflict(answer);
-    std::optional<mesh::Member> previous;
+    if (!items) {
+        context_.log.write("earlier_departure_unreadable", {{"answer_read", false}});
+    }
+    std::optional<mesh::InstanceDeparture> departure;
     for (const auto &item : items.value_or(std::vector<StoreItem>{})) {
-        if (item.key == internal::recordKey(ownRecord_->name)) {
-            previous = mesh::decodeMember(item.value);
+        if (item.removed || item.key != storeKey(departurePrefix, ownRecord_->name)) {
+            continue;
+        }
+        departure = mesh::decodeDeparture(item.value);
+        if (!departure) {
+            context_.log.write("earlier_departure_unreadable", {{"answer_read", true}});
         }
     }
-    if (!previous) {
-        context_.log.write("earlier_record_unreadable", {{"answer_read", items.has_value()}});
+    // Earlier builds kept a departure in the record, which may also be this process's own write with a lost answer.
+    for (const auto &item : items.value_or(std::vector<StoreItem>{})) {
+        const auto record = item.key == storeKey(recordPrefix, ownRecord_->name) ? mesh::decodeMember(item.value)
+                                                                                 : std::optional<mesh::Member>{};
+        if (!departure && record && !record->accepting && !record->instanceId.empty()
+            && record->incarnation != ownRecord_->incarnation) {
+            departure = {record->instanceId, record->instanceStartMs};
+        }
     }
-    // The existing record may be this process's own write whose answer was lost.
-    const auto isOwn = previous && previous->incarnation == ownRecord_->incarnation;
-    setPreviousRecord(isOwn ? std::nullopt : previous);
+    setDeparture(departure);
 }
 
-auto RegistryClient::setPreviousRecord(const std::optional<mesh::Member> &record) -> void
+auto RegistryClient::setDeparture(const std::optional<mesh::InstanceDeparture> &departure) -> void
 {
-    knowsPreviousRecord_ = true;
-    context_.log.write("earlier_record",
-                       {{"found", record.has_value()},
-                        {"instance", record ? record->instanceId : std::string{}},
-                        {"accepting", record && record->accepting}});
-    hooks_.previousRecord(record);
+    knowsDeparture_ = true;
+    context_.log.write("earlier_departure",
+                       {{"found", departure.has_value()},
+                        {"instance", departure ? departure->instanceId : std::string{}},
+                        {"instance_start_ms", departure ? departure->startTimeMs : 0}});
+    hooks_.departureKnown(departure);
 }
 
 auto RegistryClient::scheduleRecordRetry() -> void
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -8,6 +8,7 @@
 #include <jasminelatch/core/counters.hpp>
 #include <jasminelatch/event/loop.hpp>
 #include <jasminelatch/mesh/freshness.hpp>
+#include <jasminelatch/mesh/instance_departure.hpp>
 #include <jasminelatch/mesh/member.hpp>
 #include <jasminelatch/mesh/peer_message.hpp>
 
@@ -80,10 +81,12 @@
         /*! @brief A newer configuration was decoded. */
         std::function<void(mesh::Configuration configuration)> configurationChanged;
         std::function<void(const mesh::Member &member)> memberListed; /*!< A node's record was read. */
-        /*! @brief Record that the previous process of this node left, or nothing; never from a stale read. */
-        std::function<void(const std::optional<mesh::Member> &record)> previousRecord;
+        /*! @brief Departure that an earlier process of this node acknowledged last, or nothing; never from a stale
+         * read. */
+        std::function<void(const std::optional<mesh::InstanceDeparture> &departure)> departureKnown;
         /*! @brief Names of all nodes that have a record, after a complete listing; may lag by seconds. */
         std::function<void(const std::set<std::string> &names)> membersListed;
+        std::function<void()> storeRestored; /*!< An older copy has replaced the store. */
     };
 
     /*! @brief Dependencies; all must outlive the client. */
@@ -116,8 +119,8 @@
      */
     auto setOwnRecord(const mesh::Member &member) -> void;
 
-    /*! @brief Tells whether the record that the previous process left, if any, is known. */
-    [[nodiscard]] auto knowsPreviousRecord() const -> bool;
+    /*! @brief Tells whether the store has shown the departure that an earlier process acknowledged, if any. */
+    [[nodiscard]] auto knowsDeparture() const -> bool;
 
     /*! @brief Removes this node's record before the node stops. */
     auto deregister() -> void;
@@ -183,6 +186,8 @@
     auto applyChanges(const StorePage &page, TimePoint sentAt) -> bool;
     [[nodiscard]] auto readPage(const HttpConnection::Result &result) const -> std::optional<StorePage>;
     auto apply(const StoreItem &item) -> void;
+    /*! @brief Removes an item that a node has recorded long ago, if this node is the one that cleans up. */
+    auto removeIfExpired(const StoreItem &item, std::uint64_t recordedMs, Duration memory) -> void;
     /*! @brief Puts a configuration in force unless it is not newer; returns its version, or nothing if unreadable. */
     auto applyConfiguration(const StoreItem &item) -> std::optional<std::uint64_t>;
     /*! @brief Returns whether an older copy has replaced the store, so that everything is read anew. */
@@ -203,7 +208,7 @@
     auto handleRecordWrite(const HttpConnection::Result &result, const std::string &written, std::uint64_t lease)
         -> void;
     auto handleRecordConflict(const mesh::Answer &answer) -> void;
-    auto setPreviousRecord(const std::optional<mesh::Member> &record) -> void;
+    auto setDeparture(const std::optional<mesh::InstanceDeparture> &departure) -> void;
     auto scheduleRecordRetry() -> void;
     [[nodiscard]] auto jittered(Duration maxDelay, double minFraction) -> Duration;
 
@@ -247,7 +252,7 @@
     std::uint64_t lease_{};
     event::TimerId renewTimer_{};
     bool isWritingRecord_{};
-    bool knowsPreviousRecord_{}; /*!< Whether the first write has shown which record existed before. */
+    bool knowsDeparture_{}; /*!< Whether the first write has shown what an earlier process left. */
     bool isLeaving_{};
 };
 
--- a/test/jasminelatch/sidecar/node.cpp
+++ b/test/jasminelatch/sidecar/node.cpp
@@ -397,10 +397,8 @@
 {
     loopback.runFor(500ms);
     store.keepCopy();
-    const auto before = store.find("jasminelatch/nodes/back");
     const auto isRecorded = [&] {
-        const auto record = store.find("jasminelatch/nodes/back");
-        return record && record != before;
+        return store.find("jasminelatch/departures/back").has_value();
     };
     EXPECT_EQ(report(back, "draining", 2).status, 200U);
     EXPECT_TRUE(loopback.runUntil(isRecorded, 1s));
--- a/test/support/platform_store.hpp
+++ b/test/support/platform_store.hpp
@@ -152,9 +152,9 @@
             watch(target, std::move(respond));
         } else if (target == "/v1/kv-txn") {
             const auto body = Json::parse(request.body);
-            if (const auto conflicts = conflictsOf(body); !conflicts.empty()) {
+            if (const auto conflicts = conflictsOf(body)) {
                 Json reply;
-                reply["items"] = conflicts;
+                reply["items"] = *conflicts;
                 respond({412, {}, {}, reply.dump()});
                 return;
             }
@@ -168,16 +168,20 @@
         }
     }
 
-    /*! @brief Returns the items that conflict with a change; only absence can be expected. */
-    [[nodiscard]] auto conflictsOf(const Json &body) const -> Json
+    /*! @brief Returns the expected items as they are, or nothing if all have the revision that is expected. */
+    [[nodiscard]] auto conflictsOf(const Json &body) const -> std::optional<Json>
     {
-        Json conflicts = Json::array();
+        Json present = Json::array();
+        auto isExpected = true;
         for (const auto &item : body.at("expected-revision")) {
-            if (const auto found = items_.find(item.at("key").get<std::string>()); found != items_.end()) {
-                conflicts.push_back(found->second);
+            const auto found = items_.find(item.at("key").get<std::string>());
+            const auto revision = found == items_.end() ? Json(0) : found->second.at("revision");
+            isExpected = isExpected && revision == item.at("revision");
+            if (found != items_.end()) {
+                present.push_back(found->second);
             }
         }
-        return conflicts;
+        return isExpected ? std::nullopt : std::optional{std::move(present)};
     }
 
     auto watch(const std::string &target, sidecar::HttpServer::Respond respond) -> void
