Keep quarantined requests in the store, where they outlast the end of all nodes

Cause: what is known of such a request was held by the processes alone, which may all end at the same moment.

Why this works: the nodes beside the crashed instances write the records of quarantined requests as items without a lease, by the StoreWriter. A node reads them in the listing that it starts with, which precedes its first configuration in the order of keys, so that it serves nobody before. An older copy of the store gets them again, also from the first relay, where those who recorded the crashes have ended.

Ruled out: nodes that know the request and do not apply it; instances that count as sound after a restart. Store calls: one or two a node beside a crashed instance and quarantine, two a later crash; reading costs none.

--- a/src/jasminelatch/mesh/crash_tracker.cpp
+++ b/src/jasminelatch/mesh/crash_tracker.cpp
@@ -13,6 +13,7 @@
 auto CrashTracker::recordCrash(const CrashId crash, const std::span<const Fingerprint> running, const TimePoint now)
     -> void
 {
+    localCrashes_.insert(crash);
     for (const auto fingerprint : running) {
         merge({fingerprint, {crash}, {}, Duration::zero()}, now);
     }
@@ -83,14 +84,42 @@
         if (record.change <= change) {
             continue;
         }
-        auto &entry = changed.emplace_back(CrashRecord{fingerprint, {}, {}, now - record.lastCrashAt});
-        for (const auto &[crash, isCleared] : record.crashes) {
-            (isCleared ? entry.survived : entry.crashes).push_back(crash);
-        }
+        changed.push_back(toCrashRecord(fingerprint, record, now));
     }
     return changed;
 }
 
+auto CrashTracker::toCrashRecord(const Fingerprint fingerprint, const Record &record, const TimePoint now)
+    -> CrashRecord
+{
+    CrashRecord entry{fingerprint, {}, {}, now - record.lastCrashAt};
+    for (const auto &[crash, isCleared] : record.crashes) {
+        (isCleared ? entry.survived : entry.crashes).push_back(crash);
+    }
+    return entry;
+}
+
+auto CrashTracker::quarantined(const TimePoint now, const bool isLocalOnly) const -> std::vector<CrashRecord>
+{
+    std::vector<CrashRecord> found;
+    for (const auto &[fingerprint, record] : records_) {
+        const auto isLocal = std::ranges::any_of(
+            record.crashes, [this](const auto &entry) { return localCrashes_.contains(entry.first); });
+        const auto mayBeQuarantined =
+            (isLocal || !isLocalOnly) && record.uncleared >= settings_.crashesBeforeShortQuarantine;
+        if (mayBeQuarantined && suspicion(fingerprint, {}, now).quarantine > Duration::zero()) {
+            found.push_back(toCrashRecord(fingerprint, record, now));
+        }
+    }
+    return found;
+}
+
+auto CrashTracker::isCleared(const Fingerprint fingerprint) const -> bool
+{
+    const auto found = records_.find(fingerprint);
+    return found != records_.end() && found->second.uncleared == 0;
+}
+
 auto CrashTracker::lastChange() const noexcept -> std::uint64_t
 {
     return lastChange_;
@@ -119,6 +148,7 @@
             const auto running = running_.find(crash);
             running->second.erase(least->first);
             if (running->second.empty()) {
+                localCrashes_.erase(crash);
                 running_.erase(running);
             }
         }
--- a/src/jasminelatch/mesh/crash_tracker.hpp
+++ b/src/jasminelatch/mesh/crash_tracker.hpp
@@ -99,6 +99,19 @@
      */
     [[nodiscard]] auto recordsSince(std::uint64_t change, TimePoint now) const -> std::vector<CrashRecord>;
 
+    /**
+     * @brief Returns the records of quarantined requests, which must outlast this process.
+     * @param now Current time.
+     * @param isLocalOnly Whether to leave out requests that have been in no crash recorded by this node.
+     */
+    [[nodiscard]] auto quarantined(TimePoint now, bool isLocalOnly) const -> std::vector<CrashRecord>;
+
+    /**
+     * @brief Returns whether a request has been in crashes and is cleared of all of them.
+     * @param fingerprint The request.
+     */
+    [[nodiscard]] auto isCleared(Fingerprint fingerprint) const -> bool;
+
     /*! @brief Returns the number of the last change. */
     [[nodiscard]] auto lastChange() const noexcept -> std::uint64_t;
 
@@ -113,6 +126,8 @@
         std::uint64_t change{};
     };
 
+    [[nodiscard]] static auto toCrashRecord(Fingerprint fingerprint, const Record &record, TimePoint now)
+        -> CrashRecord;
     auto noteChange(Record &record) -> void;
     auto forgetExcess() -> void;
     [[nodiscard]] auto unexplainedCrashes(const Record &record) const -> std::uint32_t;
@@ -125,6 +140,7 @@
     Settings settings_;
     std::map<Fingerprint, Record> records_;
     std::map<CrashId, std::set<Fingerprint>> running_; /*!< Requests that were running, by crash. */
+    std::set<CrashId> localCrashes_; /*!< Crashes that this node has recorded. */
     std::uint64_t lastChange_{};
 };
 
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -96,6 +96,7 @@
                      recordDeparture();
                  },
                  [this] {
+                     quarantines_.update(loop_->now());
                      fleet_.sendReports();
                  }}}
     , registry_{{loop, dialect_, log_, counters_},
@@ -105,10 +106,12 @@
                  [this](const mesh::Member &member) { fleet_.updateMember(member); },
                  [this](const std::optional<mesh::InstanceDeparture> &departure) { handleDepartureKnown(departure); },
                  [this](const std::set<std::string> &names) { fleet_.dropUnlistedPeers(names); },
+                 [this](const mesh::StoredCrash &stored) { quarantines_.merge(stored, loop_->now()); },
                  [this] {
-                     writer_.rewriteAll();
+                     handleStoreRestored();
                  }}}
     , writer_{{loop, dialect_, log_, counters_}, settings_.store, {}}
+    , quarantines_{{log_, crashes_, writer_}}
     , fleet_{{loop, log_, placement_, caps_, retryBudget_, admission_, registry_, crashes_},
              ownMember(),
              {[this] { return ownReport(); },
@@ -291,6 +294,14 @@
                        });
 }
 
+auto Node::handleStoreRestored() -> void
+{
+    if (registry_.isFirstRelay()) {
+        quarantines_.adoptAll();
+    }
+    writer_.rewriteAll();
+}
+
 auto Node::recordDeparture() -> void
 {
     const auto &latest = instance_.latest();
@@ -431,6 +442,7 @@
     }
     decayedAt_ = now;
     fleet_.update();
+    quarantines_.update(now);
     admission_.update([this](const std::string &service) { return placement_.capacity(service); }, now);
     instance_.setFleetProfiles(admission_.profiles());
     instance_.setInstanceCount(placement_.capacity(settings_.service).instances);
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -8,6 +8,7 @@
 #include "http_server.hpp"
 #include "local_instance.hpp"
 #include "peer_server.hpp"
+#include "quarantine_store.hpp"
 #include "registry_client.hpp"
 #include "request_router.hpp"
 #include "settings.hpp"
@@ -77,6 +78,7 @@
     [[nodiscard]] auto mustHold(const mesh::InstanceReport &report) const -> bool;
     auto acknowledge(const mesh::InstanceReport &report, HttpServer::Respond respond) -> void;
     auto recordDeparture() -> void;
+    auto handleStoreRestored() -> void;
     [[nodiscard]] auto canProbe() const -> bool;
     auto applyConfiguration(mesh::Configuration configuration) -> void;
     auto probeInstance() -> void;
@@ -120,6 +122,7 @@
     LocalInstance instance_;
     RegistryClient registry_;
     StoreWriter writer_;
+    QuarantineStore quarantines_;
     Fleet fleet_;
     RequestRouter router_;
     PeerServer peerServer_;
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -12,6 +12,8 @@
 
 /*! @brief Time for which a departure is kept; instances that leave end within minutes. */
 constexpr Duration departureMemory = std::chrono::hours{1};
+/*! @brief Time for which a quarantined request is kept after its last crash, as in the memory of nodes. */
+constexpr Duration crashMemory = mesh::CrashTracker::Settings{}.memory;
 /*! @brief Wait of a watch that serves as a poll and returns what has changed so far. */
 constexpr Duration pollWait = std::chrono::milliseconds{1};
 /*! @brief Rank of a node that is not a relay: it polls the store only if no confirmation arrives from relays. */
@@ -442,6 +444,10 @@
         removeIfExpired(item, departure ? departure->recordedMs : 0, internal::departureMemory);
         return;
     }
+    if (item.key.starts_with(crashPrefix)) {
+        applyCrash(item);
+        return;
+    }
     if (!item.key.starts_with(recordPrefix)) {
         return;
     }
@@ -454,12 +460,27 @@
     hooks_.memberListed(*member);
 }
 
+auto RegistryClient::applyCrash(const StoreItem &item) -> void
+{
+    const auto stored = mesh::decodeStoredCrash(item.value);
+    if (stored) {
+        hooks_.crashListed(*stored);
+    } else {
+        context_.log.write("record_unreadable", {{"key", item.key}, {"revision", item.revision}});
+    }
+    removeIfExpired(item, stored ? stored->lastCrashMs : 0, internal::crashMemory);
+}
+
+auto RegistryClient::isFirstRelay() const -> bool
+{
+    return relayRank_ == 0 && isWatching_;
+}
+
 auto RegistryClient::removeIfExpired(const StoreItem &item, const std::uint64_t recordedMs, const Duration memory)
     -> void
 {
     const auto memoryMs = static_cast<std::uint64_t>(memory / std::chrono::milliseconds{1});
-    // One node is enough.
-    if (relayRank_ != 0 || !isWatching_ || wallClockMilliseconds() < recordedMs + memoryMs) {
+    if (!isFirstRelay() || wallClockMilliseconds() < recordedMs + memoryMs) {
         return;
     }
     // The revision guards against the loss of a newer value, as the listing may be old.
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -11,6 +11,7 @@
 #include <jasminelatch/mesh/instance_departure.hpp>
 #include <jasminelatch/mesh/member.hpp>
 #include <jasminelatch/mesh/peer_message.hpp>
+#include <jasminelatch/mesh/stored_crash.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -86,6 +87,7 @@
         std::function<void(const std::optional<mesh::InstanceDeparture> &departure)> departureKnown;
         /*! @brief Names of all nodes that have a record, after a complete listing; may lag by seconds. */
         std::function<void(const std::set<std::string> &names)> membersListed;
+        std::function<void(const mesh::StoredCrash &stored)> crashListed; /*!< A quarantined request was read. */
         std::function<void()> storeRestored; /*!< An older copy has replaced the store. */
     };
 
@@ -164,6 +166,9 @@
     /*! @brief Tells whether API keys may be trusted. */
     [[nodiscard]] auto isFresh() const -> bool;
 
+    /*! @brief Tells whether this node is the first relay, which does what one node must do for all. */
+    [[nodiscard]] auto isFirstRelay() const -> bool;
+
     /*! @brief Tells whether a configuration is known. */
     [[nodiscard]] auto hasConfiguration() const -> bool;
 
@@ -186,6 +191,7 @@
     auto applyChanges(const StorePage &page, TimePoint sentAt) -> bool;
     [[nodiscard]] auto readPage(const HttpConnection::Result &result) const -> std::optional<StorePage>;
     auto apply(const StoreItem &item) -> void;
+    auto applyCrash(const StoreItem &item) -> void;
     /*! @brief Removes an item that a node has recorded long ago, if this node is the one that cleans up. */
     auto removeIfExpired(const StoreItem &item, std::uint64_t recordedMs, Duration memory) -> void;
     /*! @brief Puts a configuration in force unless it is not newer; returns its version, or nothing if unreadable. */
--- a/src/jasminelatch/sidecar/store_keys.hpp
+++ b/src/jasminelatch/sidecar/store_keys.hpp
@@ -12,11 +12,13 @@
 inline constexpr std::string_view recordPrefix = "jasminelatch/nodes/";
 /*! @brief Key prefix of the latest departure of an instance, by VM. */
 inline constexpr std::string_view departurePrefix = "jasminelatch/departures/";
+/*! @brief Key prefix of quarantined requests, by fingerprint. */
+inline constexpr std::string_view crashPrefix = "jasminelatch/crashes/";
 
 /**
  * @brief Returns the key of an item.
  * @param prefix Prefix of its kind.
- * @param name Name of the VM.
+ * @param name Name of the VM or the request.
  * @return Key in the store.
  */
 [[nodiscard]] inline auto storeKey(const std::string_view prefix, const std::string_view name) -> std::string
--- a/test/jasminelatch/mesh/crash_tracker.cpp
+++ b/test/jasminelatch/mesh/crash_tracker.cpp
@@ -55,6 +55,31 @@
     }
 }
 
+TEST(CrashTracker, ReturnsWhatMustOutlastTheProcess)
+{
+    // Guards against BUDGET of review/5: what is known of a request that crashes instances must survive all nodes.
+    CrashTracker tracker{{}};
+    tracker.recordCrash(1, std::vector<Fingerprint>{deadly, 21}, start);
+    EXPECT_TRUE(tracker.quarantined(start, true).empty());
+    tracker.recordCrash(2, std::vector<Fingerprint>{deadly, 22}, start);
+    tracker.merge({deadly, {3}, {}, 1s}, start);
+    ASSERT_EQ(tracker.quarantined(start, true).size(), 1U);
+    const auto kept = tracker.quarantined(start, true).front();
+    EXPECT_EQ(kept.fingerprint, deadly);
+    EXPECT_EQ(kept.crashes.size(), 3U);
+
+    CrashTracker next{{}};
+    next.merge(kept, start);
+    EXPECT_GT(next.suspicion(deadly, {}, start).quarantine, 5min);
+    EXPECT_TRUE(next.quarantined(start, true).empty()) << "another node has recorded its crashes";
+    EXPECT_EQ(next.quarantined(start, false).size(), 1U);
+
+    EXPECT_FALSE(tracker.isCleared(deadly));
+    tracker.recordSurvival(deadly);
+    EXPECT_TRUE(tracker.isCleared(deadly));
+    EXPECT_TRUE(tracker.quarantined(start, false).empty());
+}
+
 TEST(CrashTracker, TheSameCrashCountsOnce)
 {
     CrashTracker tracker{{}};
