A request of a crash that waits alone leaves the queue at its wait limit

The gate now says whether anything is queued.

LocalInstanceTest.ARequestOfACrashThatWaitsAloneIsRefusedAtItsWaitLimit: not refused within 400 ms before, after 200 ms now. AWithdrawnRequestIsRefusedOnlyWhileItWaits covers the withdrawal that a stopping node sends.

--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -114,6 +114,11 @@
     running_.erase(found);
 }
 
+auto InstanceGate::hasQueued() const noexcept -> bool
+{
+    return !queue_.empty();
+}
+
 auto InstanceGate::isQueued(const std::uint64_t id) const -> bool
 {
     return queueKeys_.contains(id);
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -136,6 +136,9 @@
      */
     auto finish(std::uint64_t id, Duration runTime) -> void;
 
+    /*! @brief Returns whether any request is queued, those that `load` leaves out included. */
+    [[nodiscard]] auto hasQueued() const noexcept -> bool;
+
     /**
      * @brief Returns whether a request is queued.
      * @param id Id of the request.
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -645,7 +645,7 @@
     for (const auto requestId : advanced.run) {
         run(requestId);
     }
-    if (gate_.load(context_.loop.now()).queued > 0) {
+    if (gate_.hasQueued()) {
         scheduleSweep();
     }
 }
