Bound the bodies that the servers for reports, readiness and metrics accept

What callers would see: a faulty instance that sends reports without end, over several connections, fills the memory of its node; the platform kills the node, and the requests of its other clients end with it.

Cause: these servers had the limits meant for client requests, 64 MB a body, and no byte budget over their connections.

Why this works: a report has a few kilobytes. Bodies above 64 KiB are refused with 413 before they are read.

--- a/src/jasminelatch/sidecar/http_server.cpp
+++ b/src/jasminelatch/sidecar/http_server.cpp
@@ -24,6 +24,8 @@
 /*! @brief Time for which input is discarded after the last response; closing earlier would send a TCP reset, which can
  * destroy the response before the client reads it. */
 constexpr Duration lingerTimeout = std::chrono::milliseconds{500};
+/*! @brief Largest body of a request to the node itself, such as an instance's report. */
+constexpr std::size_t maxSmallBodyBytes = 65536;
 
 /*! @brief `Retry-After` of requests that exceed the byte budget. */
 constexpr std::chrono::seconds memoryRetryAfter{1};
@@ -323,12 +325,17 @@
     };
     hooks.cancelled = [](std::uint64_t) {
     };
-    hooks.limits = [] {
-        return mesh::Limits{};
-    };
+    hooks.limits = smallLimits;
     return hooks;
 }
 
+auto HttpServer::smallLimits() -> mesh::Limits
+{
+    mesh::Limits limits;
+    limits.maxBodyBytes = internal::maxSmallBodyBytes;
+    return limits;
+}
+
 auto HttpServer::open(const event::Endpoint &on) -> std::optional<std::string>
 {
     return listener_.open(on);
--- a/src/jasminelatch/sidecar/http_server.hpp
+++ b/src/jasminelatch/sidecar/http_server.hpp
@@ -37,13 +37,16 @@
     };
 
     /**
-     * @brief Makes hooks for a server that responds synchronously, with the default limits and no byte budget.
+     * @brief Makes hooks for a server that responds synchronously, with small limits and no byte budget.
      * @param answer Computes the response to a request.
      * @return Hooks for the constructor.
      */
     [[nodiscard]] static auto synchronousHooks(std::function<mesh::Answer(const mesh::Request &request)> answer)
         -> Hooks;
 
+    /*! @brief Returns limits for requests to the node itself, whose bodies need no byte budget. */
+    [[nodiscard]] static auto smallLimits() -> mesh::Limits;
+
     /**
      * @brief Makes a server that does not listen yet.
      * @param loop Loop to run on; it outlives the server.
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -151,7 +151,7 @@
                     return std::uint64_t{0};
                 },
                 [](std::uint64_t) {},
-                [] { return mesh::Limits{}; },
+                HttpServer::smallLimits,
                 nullptr}}
     , metrics_{loop, HttpServer::synchronousHooks([this](const mesh::Request &) { return answerMetrics(); })}
 {
--- a/test/jasminelatch/sidecar/loopback.hpp
+++ b/test/jasminelatch/sidecar/loopback.hpp
@@ -60,8 +60,8 @@
 class RawServer
 {
 public:
-    explicit RawServer(Loopback &loopback)
-        : endpoint{Loopback::freeEndpoint()}
+    explicit RawServer(Loopback &loopback, event::Endpoint on = Loopback::freeEndpoint())
+        : endpoint{std::move(on)}
         , listener_{loopback.loop, [this, &loopback](boost::asio::ip::tcp::socket socket) {
                         streams.push_back(std::make_unique<event::Stream>(
                             loopback.loop,
