--- a/src/jasminelatch/mesh/fwd.hpp
+++ b/src/jasminelatch/mesh/fwd.hpp
@@ -16,10 +16,12 @@
 struct Configuration;
 struct HopReply;
 struct HopRequest;
+struct InstanceDeparture;
 struct InstanceReport;
 struct Member;
 struct NodeReport;
 struct Request;
+struct StoredCrash;
 
 } // namespace jasminelatch::mesh
 
--- a/src/jasminelatch/sidecar/fwd.hpp
+++ b/src/jasminelatch/sidecar/fwd.hpp
@@ -11,7 +11,9 @@
 class Node;
 class PeerLink;
 class PeerServer;
+class QuarantineStore;
 class RequestRouter;
+class StoreWriter;
 struct Settings;
 
 } // namespace jasminelatch::sidecar
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -31,9 +31,7 @@
 /*! @brief Interval between log lines while the instance limits its rate. */
 constexpr Duration rateLimitLogInterval = std::chrono::seconds{1};
 
-/*! @brief Time after which another health query is sent while one is not answered; an instance may hold it in its
- * queue.
- */
+/*! @brief Time after which another health query is sent while one is not answered, as the instance may queue it. */
 constexpr Duration healthQueryInterval = std::chrono::seconds{2};
 /*! @brief Maximum length of a request target in a log line. */
 constexpr std::size_t maxLoggedTarget = 100;
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -77,8 +77,8 @@
 
     /**
      * @brief Queries the health endpoint of the instance, so that a node that starts beside a running instance need not
-     * wait for its next report, and learns a rate limit before it sends requests. Ignored if one has
-     * just been sent and is not answered yet.
+     * wait for its next report, and learns a rate limit before it sends requests. Ignored while a recent query is not
+     * answered yet.
      * @param path Path of the health endpoint.
      * @param found Called with the report in the response if the instance is healthy.
      */
@@ -198,7 +198,7 @@
     TimePoint rateLimitLoggedAt_;
     bool stopped_{};
     std::optional<TimePoint> healthQueriedAt_; /*!< When the health query under way was sent. */
-    bool isLeavingUnnamed_{}; /*!< Whether an instance that has not reported its id yet says that it is leaving. */
+    bool isLeavingUnnamed_{}; /*!< Whether an instance whose id is not known yet says that it is leaving. */
     bool isDown_{}; /*!< Whether the instance accepts no connections. */
     mesh::CrashId crash_{}; /*!< Crash of the present start; zero if it has not crashed. */
     std::vector<mesh::Fingerprint> lost_; /*!< Requests lost since the last crash check began. */
--- a/test/jasminelatch/sidecar/departure.cpp
+++ b/test/jasminelatch/sidecar/departure.cpp
@@ -138,6 +138,15 @@
     expectGone();
 }
 
+TEST_F(DepartureTest, ADepartureCostsOneWriteOfTheStore)
+{
+    EXPECT_EQ(deregister().status, 200U);
+    EXPECT_EQ(deregister().status, 200U) << "sent again, as if the first acknowledgement was lost";
+    loopback.runFor(500ms);
+    const auto metrics = getFrom(loopback, back->node->settings.metrics, "/metrics").body;
+    EXPECT_NE(metrics.find("jasminelatch_store_keep_total 1\n"), std::string::npos) << metrics;
+}
+
 TEST_F(DepartureTest, ADepartureThatTheStoreDoesNotTakeIsNotAcknowledged)
 {
     // Guards against DRAIN of review/2 while the store is away.
--- a/test/jasminelatch/sidecar/quarantine.cpp
+++ b/test/jasminelatch/sidecar/quarantine.cpp
@@ -113,6 +113,22 @@
     EXPECT_EQ(fetch("/m/1").status, 200U);
 }
 
+TEST_F(QuarantineTest, AQuarantineCostsFewWritesOfTheStore)
+{
+    sendDeadly(6);
+    loopback.runFor(1s);
+    auto writes = 0.0;
+    for (const auto &back : fleet->backs) {
+        const auto metrics = getFrom(loopback, back->settings.metrics, "/metrics").body;
+        const std::string name = "jasminelatch_store_keep_total ";
+        const auto at = metrics.find('\n' + name);
+        writes += at == std::string::npos ? 0.0 : std::stod(metrics.substr(at + 1 + name.size()));
+    }
+    RecordProperty("writes", std::to_string(writes));
+    EXPECT_GE(writes, 1.0);
+    EXPECT_LE(writes, 2.0 * static_cast<double>(crashes())) << "two for each node beside a crashed instance";
+}
+
 TEST_F(QuarantineTest, ARequestStaysQuarantinedAfterAllNodesAreStopped)
 {
     // Guards against BUDGET of review/5 after planned stops.
