Decode uploads, the four figures of an instance's load, and the terms of cold starts

Where instances state four figures, the last one, how slow the VM is at the moment, was taken for the slots: 52 became 100, or 250 beside a busy neighbour.

Cause: decodeRoute knew three route types, and decodeHealth took what follows the last comma. Uploads are handled like requests that are not idempotent; idempotent is now what is named so, and no longer all but one type. The third figure is the number of slots.

Tests that failed before: DecodeConfiguration.AnUploadRunsAtMostOnce, DecodeHealth.SlotsAreTheThirdFigureOfTheLoad (by reading; the old code has no such field for the others).

--- a/src/jasminelatch/mesh/configuration.hpp
+++ b/src/jasminelatch/mesh/configuration.hpp
@@ -37,6 +37,8 @@
 struct Service {
     std::string name; /*!< Unique name. */
     std::string healthPath; /*!< Health check path of the instances. */
+    Duration coldStart{}; /*!< Time for which an instance is cold after its start. */
+    double coldRatePerSecond{}; /*!< Requests per second that a cold instance tolerates; zero for no limit. */
 };
 
 /*! @brief Client account with its API keys and rate cap. */
--- a/src/jasminelatch/sidecar/dialect.hpp
+++ b/src/jasminelatch/sidecar/dialect.hpp
@@ -34,6 +34,7 @@
 struct InstanceCondition {
     std::optional<double> rateLimit; /*!< Requests per second that it accepts from all nodes; nothing if unlimited. */
     bool isLeaving{}; /*!< Whether it is about to stop. */
+    std::optional<double> slowness; /*!< Present run time relative to the usual one; nothing if not stated. */
 };
 
 /*! @brief Key-value item of the store, or its removal. */
@@ -84,7 +85,9 @@
     /*! @brief Reads how often the store has been replaced by an older copy; revisions of different eras do not compare.
      * Nothing if the answer does not tell. */
     std::function<std::optional<std::uint64_t>(const mesh::Answer &answer)> readEra;
+    std::string operatorPrefix; /*!< Prefix of the items that operators write, these two included. */
     std::string configurationKey; /*!< Key under which the store holds the current configuration. */
+    std::string evacuationPrefix; /*!< Prefix of the items that name an evacuated failure domain. */
 };
 
 /*! @brief Adapter to the platform that a node runs on: its header fields, formats and store API. */
--- a/test/jasminelatch/platform/decode.cpp
+++ b/test/jasminelatch/platform/decode.cpp
@@ -60,6 +60,30 @@
     EXPECT_EQ(configuration->limits.maxBodyBytes, 1000U);
 }
 
+// An unknown route type refused the whole configuration, and an upload taken for idempotent would be repeated.
+TEST(DecodeConfiguration, AnUploadRunsAtMostOnce)
+{
+    auto text = configurationText;
+    text.replace(text.find("non_idempotent"), 14, "upload");
+    std::string error;
+    const auto configuration = decodeConfiguration(text, error);
+    ASSERT_TRUE(configuration) << error;
+    EXPECT_FALSE(configuration->routes[1].idempotent);
+    EXPECT_FALSE(configuration->routes[1].download);
+}
+
+TEST(DecodeConfiguration, DecodesTheColdStartOfAService)
+{
+    auto text = configurationText;
+    const std::string spec = R"("max-connections":820)";
+    text.insert(text.find(spec) + spec.size(), R"(,"cold-start":"3s","cold-per-s":13.5)");
+    std::string error;
+    const auto configuration = decodeConfiguration(text, error);
+    ASSERT_TRUE(configuration) << error;
+    EXPECT_EQ(configuration->services.front().coldStart, Duration{3s});
+    EXPECT_EQ(configuration->services.front().coldRatePerSecond, 13.5);
+}
+
 TEST(DecodeConfiguration, RejectsUnknownRouteType)
 {
     auto text = configurationText;
@@ -176,6 +200,33 @@
     }
 }
 
+// The last figure was taken for the slots, so that an instance of 52 slots got 250 requests at once.
+TEST(DecodeHealth, SlotsAreTheThirdFigureOfTheLoad)
+{
+    const auto health = [](const std::string &load) {
+        return decodeHealth({200, {}, {{"Instance-Id", "i-1"}, {"Instance-Load", load}}, {}});
+    };
+    ASSERT_TRUE(health("3,0,52"));
+    EXPECT_EQ(health("3,0,52")->slots, 52U);
+    EXPECT_EQ(health("3,0,52,250")->slots, 52U);
+    for (const std::string text : {"", "52", "3,0", "3,0,0", "3,,52", "3,0,52,", "3,0,x", "3,0,52 ", "-3,0,52"}) {
+        EXPECT_FALSE(health(text)) << text;
+    }
+}
+
+TEST(Dialect, ReadsHowSlowAnInstanceIs)
+{
+    const auto dialect = makeDialect();
+    std::string error;
+    const auto slowness = [&](const std::string &load) {
+        return dialect.readCondition({200, {}, {{"Instance-Load", load}}, {}}, error)->slowness;
+    };
+    EXPECT_EQ(slowness("3,0,52,250"), 2.5);
+    EXPECT_FALSE(slowness("3,0,52"));
+    EXPECT_FALSE(slowness("3,0,52,0"));
+    EXPECT_FALSE(slowness("3,0,52,slow"));
+}
+
 TEST(StoreProtocol, DecodesItemsAndChanges)
 {
     const auto protocol = makeStoreProtocol();
