Evacuate failure domains and limit the rate of cold instances

Change: items op/evacuate/<domain> of the store are followed like the configuration and passed on with reports; entry nodes exclude the members of an evacuated domain, and the node beside an instance refuses and reports it as not accepting. The node beside an instance, the only way to it, keeps a cold one within its rate with a token bucket, and holds it for cold after every event that may hide a start until its health check says otherwise.

Ruled out: leases of the rate (one node sends everything), a frame of its own for the set (earlier builds close the connection).

--- a/src/jasminelatch/mesh/fwd.hpp
+++ b/src/jasminelatch/mesh/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace jasminelatch::mesh {
 
+class ColdStart;
 class ConfigurationIndex;
 class Freshness;
 class InstanceBreaker;
--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -19,6 +19,7 @@
 InstanceGate::InstanceGate(Settings settings)
     : settings_{settings}
     , rateLimit_{settings.rateLimit}
+    , coldStart_{settings.coldStart}
 {
 }
 
@@ -57,6 +58,16 @@
     return rateLimit_.limit();
 }
 
+auto InstanceGate::coldStart() noexcept -> ColdStart &
+{
+    return coldStart_;
+}
+
+auto InstanceGate::coldStart() const noexcept -> const ColdStart &
+{
+    return coldStart_;
+}
+
 auto InstanceGate::setFleetProfiles(const std::map<std::string, RouteProfile> &profiles) -> void
 {
     auto runs = 0.0;
@@ -80,7 +91,7 @@
         if (!canFinish(item, now)) {
             return {Decision::Kind::Refuse, settings_.minRetryAfter};
         }
-        if (maySuspectRun(item.crashes) && rateLimit_.take(now)) {
+        if (maySuspectRun(item.crashes) && takeRate(now)) {
             start(std::move(item));
             return {Decision::Kind::Run, {}};
         }
@@ -134,6 +145,20 @@
     return crashes == 1 ? runningAlone_ == 0 && runningSuspects_ < most : runningSuspects_ == 0;
 }
 
+auto InstanceGate::takeRate(const TimePoint now) -> bool
+{
+    if (!coldStart_.allows(now) || !rateLimit_.take(now)) {
+        return false;
+    }
+    coldStart_.record(now);
+    return true;
+}
+
+auto InstanceGate::rateWait(const std::size_t ahead, const TimePoint now) const -> Duration
+{
+    return std::max(rateLimit_.wait(ahead, now), coldStart_.wait(ahead, now));
+}
+
 auto InstanceGate::start(Item item) -> void
 {
     runningSuspects_ += item.crashes > 0 ? 1 : 0;
@@ -168,7 +193,7 @@
     for (auto next = queue_.begin(); next != queue_.end();) {
         const auto &item = next->second;
         const auto expired = !canFinish(item, now);
-        if (!expired && (running_.size() >= limit() || !maySuspectRun(item.crashes) || !rateLimit_.take(now))) {
+        if (!expired && (running_.size() >= limit() || !maySuspectRun(item.crashes) || !takeRate(now))) {
             ++next;
             continue;
         }
@@ -201,11 +226,15 @@
                       static_cast<std::uint32_t>(queue_.size() - queuedSuspects_),
                       limit(),
                       runTime()};
-    if (const auto rate = rateLimit_.limit(); rate && load.limit > 0) {
+    auto rate = rateLimit_.limit();
+    if (coldStart_.isLimited(now)) {
+        rate = std::min(rate.value_or(coldStart_.rate()), coldStart_.rate());
+    }
+    if (rate && load.limit > 0) {
         const auto usual = load.runTime == Duration::zero() ? settings_.defaultRunTime : load.runTime;
         const auto concurrency = *rate * std::chrono::duration<double>(usual).count();
         load.limit = std::clamp(static_cast<std::uint32_t>(std::min<double>(concurrency, limit())), 1U, limit());
-        if (rateLimit_.wait(0, now) > Duration::zero()) {
+        if (rateWait(0, now) > Duration::zero()) {
             load.running = std::max(load.running, load.limit);
         }
     }
@@ -230,7 +259,7 @@
     const auto runTime = meanRunTime_ == Duration::zero() ? settings_.defaultRunTime : meanRunTime_;
     const auto isFull = running_.size() >= limit();
     const auto forSlot = isFull ? Duration{runTime * static_cast<Duration::rep>(ahead + 1) / slots} : Duration::zero();
-    return std::max(forSlot, rateLimit_.wait(ahead, now));
+    return std::max(forSlot, rateWait(ahead, now));
 }
 
 auto InstanceGate::retryAfter(const TimePoint now) const -> Duration
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -2,6 +2,7 @@
 #define JASMINELATCH_MESH_INSTANCE_GATE_HPP
 
 #include "call_learner.hpp"
+#include "cold_start.hpp"
 #include "hop.hpp"
 #include "instance_rate_limit.hpp"
 
@@ -38,6 +39,7 @@
         Duration defaultRunTime{std::chrono::milliseconds{50}}; /*!< Mean run time before the first run. */
         Duration minRetryAfter{std::chrono::milliseconds{100}}; /*!< Lower bound of the retry delay after a refusal. */
         InstanceRateLimit::Settings rateLimit; /*!< Limit on requests per second. */
+        ColdStart::Settings coldStart; /*!< The same while the instance is cold. */
         double suspectSlotFraction{0.125}; /*!< Fraction of the slots for requests that may have caused a crash. */
         std::size_t minInstancesForSuspects{8}; /*!< Instances of the service below which only one such request runs
                                                      here, so that another crash identifies it. */
@@ -115,6 +117,12 @@
     /*! @brief Returns the requests per second that the instance states, or nothing. */
     [[nodiscard]] auto rateLimit() const noexcept -> std::optional<double>;
 
+    /*! @brief Returns the limit that applies while the instance is cold. */
+    [[nodiscard]] auto coldStart() noexcept -> ColdStart &;
+
+    /*! @brief Returns the limit that applies while the instance is cold. */
+    [[nodiscard]] auto coldStart() const noexcept -> const ColdStart &;
+
     /**
      * @brief Sets the run times that the service's instances need on average, against which this one is compared.
      * @param profiles Profiles of all nodes together, by route.
@@ -161,8 +169,8 @@
     /**
      * @brief Returns running and queued requests, the limit and the run time.
      *
-     * A rate limit appears as the concurrency that it amounts to, so that other nodes plan with it like with slots; an
-     * instance that has used up its rate appears full.
+     * A rate limit, stated or of a cold start, appears as the concurrency that it amounts to, so that other nodes plan
+     * with it like with slots; an instance that has used up its rate appears full.
      *
      * Load pattern: requests of several routes share an instance, and their run times differ more than the speeds of
      * instances do. The mean of the runs that an instance happened to get says little about its speed, so the run time
@@ -187,12 +195,15 @@
     [[nodiscard]] auto runTime() const -> Duration;
     [[nodiscard]] auto canFinish(const Item &item, TimePoint start) const -> bool;
     [[nodiscard]] auto maySuspectRun(std::uint32_t crashes) const -> bool;
+    [[nodiscard]] auto takeRate(TimePoint now) -> bool;
+    [[nodiscard]] auto rateWait(std::size_t ahead, TimePoint now) const -> Duration;
     auto start(Item item) -> void;
     auto removeQueued(std::map<QueueKey, Item>::iterator item) -> std::map<QueueKey, Item>::iterator;
     auto recordRunTime(const std::string &route, Duration runTime) -> void;
 
     Settings settings_;
     InstanceRateLimit rateLimit_;
+    ColdStart coldStart_;
     std::uint32_t slots_{};
     std::size_t instanceCount_{};
     std::uint64_t arrivals_{};
--- a/src/jasminelatch/mesh/node_report.hpp
+++ b/src/jasminelatch/mesh/node_report.hpp
@@ -3,6 +3,7 @@
 
 #include "call_learner.hpp"
 #include "crash_tracker.hpp"
+#include "evacuation.hpp"
 #include "hop.hpp"
 #include "member.hpp"
 
@@ -57,6 +58,8 @@
     std::optional<std::uint64_t>
         configurationVersion; /*!< Version that the sender applies; empty from earlier builds. */
     std::vector<CrashRecord> crashes; /*!< Requests that were running in crashed instances, as far as changed. */
+    std::optional<Evacuation> evacuation; /*!< Evacuated failure domains; a relay answers with them only if the sender's
+                                             are older. */
 };
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -234,29 +234,43 @@
     return records;
 }
 
+auto encodeEvacuation(const Evacuation &evacuation) -> Json
+{
+    return Json::array({evacuation.era, evacuation.revision, evacuation.domains});
+}
+
+auto decodeEvacuation(const Json &json) -> Evacuation
+{
+    return {json.at(0).get<std::uint64_t>(), json.at(1).get<std::uint64_t>(), json.at(2).get<std::set<std::string>>()};
+}
+
 auto encode(const ReportMessage &message, TimePoint) -> Frame
 {
     const auto &report = message.report;
-    return {Json::array({Kind::Report,
-                         report.name,
-                         report.incarnation,
-                         report.instanceId,
-                         report.accepting,
-                         encodeLoad(report.load),
-                         report.admitted,
-                         report.offered,
-                         encodeProfiles(report.profiles),
-                         report.member ? encodeMember(*report.member) : std::string{},
-                         report.kind,
-                         report.session,
-                         report.isFull,
-                         report.nodes,
-                         report.configurationRevision,
-                         encodeInstances(report.instances),
-                         encodeMembers(report.members),
-                         report.configurationVersion.value_or(0),
-                         encodeCrashes(report.crashes)}),
-            {}};
+    Frame frame{Json::array({Kind::Report,
+                             report.name,
+                             report.incarnation,
+                             report.instanceId,
+                             report.accepting,
+                             encodeLoad(report.load),
+                             report.admitted,
+                             report.offered,
+                             encodeProfiles(report.profiles),
+                             report.member ? encodeMember(*report.member) : std::string{},
+                             report.kind,
+                             report.session,
+                             report.isFull,
+                             report.nodes,
+                             report.configurationRevision,
+                             encodeInstances(report.instances),
+                             encodeMembers(report.members),
+                             report.configurationVersion.value_or(0),
+                             encodeCrashes(report.crashes)}),
+                {}};
+    if (report.evacuation) {
+        frame.head.push_back(encodeEvacuation(*report.evacuation));
+    }
+    return frame;
 }
 
 auto encode(const ProbeMessage &, TimePoint) -> Frame
@@ -338,9 +352,10 @@
 
 auto decodeReport(const Json &json) -> ReportMessage
 {
-    // Earlier builds send no version of the configuration and no crashes.
+    // Earlier builds send no version of the configuration, no crashes and no evacuations.
     constexpr std::size_t reportSizeBeforeVersion = 17;
     constexpr std::size_t reportSizeBeforeCrashes = 18;
+    constexpr std::size_t reportSizeBeforeEvacuation = 19;
     const auto member = json.at(9).get<std::string>();
     return {{json.at(1).get<std::string>(),
              json.at(2).get<std::uint64_t>(),
@@ -359,7 +374,8 @@
              decodeInstances(json.at(15)),
              decodeMembers(json.at(16)),
              json.size() > reportSizeBeforeVersion ? std::optional{json.at(17).get<std::uint64_t>()} : std::nullopt,
-             json.size() > reportSizeBeforeCrashes ? decodeCrashes(json.at(18)) : std::vector<CrashRecord>{}}};
+             json.size() > reportSizeBeforeCrashes ? decodeCrashes(json.at(18)) : std::vector<CrashRecord>{},
+             json.size() > reportSizeBeforeEvacuation ? std::optional{decodeEvacuation(json.at(19))} : std::nullopt}};
 }
 
 auto decodeReportAck(const Json &json) -> ReportAck
--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -50,6 +50,11 @@
     departures_[name] = {instanceId, instanceStartMs, now};
 }
 
+auto Placement::setEvacuated(std::set<std::string> domains) -> void
+{
+    evacuated_ = std::move(domains);
+}
+
 auto Placement::applyReport(const NodeReport &report) -> void
 {
     applyStatus(
@@ -203,7 +208,7 @@
     const auto found = departures_.find(member.name);
     const auto hasDeparted = found != departures_.end() && found->second.instanceId == member.instanceId
                           && isSameStart(found->second.instanceStartMs, member.instanceStartMs);
-    return member.accepting && !hasDeparted;
+    return member.accepting && !hasDeparted && !evacuated_.contains(member.domain);
 }
 
 auto Placement::limitOf(const Endpoint &endpoint) -> std::uint32_t
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -94,6 +95,14 @@
     markLeaving(const std::string &name, const std::string &instanceId, std::uint64_t instanceStartMs, TimePoint now)
         -> void;
 
+    /**
+     * @brief Sets the failure domains whose instances get no requests.
+     *
+     * Load pattern: operators empty a failure domain, and later take it back.
+     * @param domains Names of the failure domains.
+     */
+    auto setEvacuated(std::set<std::string> domains) -> void;
+
     /**
      * @brief Updates load and state of an instance from its node's report.
      * @param report The report; ignored if it belongs to another incarnation.
@@ -193,6 +202,7 @@
     std::string ownDomain_;
     std::mt19937_64 random_;
     std::map<std::string, Endpoint> endpoints_;
+    std::set<std::string> evacuated_; /*!< Failure domains whose instances get no requests. */
     std::map<std::string, Departure> departures_; /*!< By name of the VM; outlives its endpoint. */
 };
 
--- a/src/jasminelatch/sidecar/fleet.cpp
+++ b/src/jasminelatch/sidecar/fleet.cpp
@@ -341,6 +341,7 @@
     sentReport_.removeUnchanged(changes);
     aggregator_.addSubtreeStates(changes, false);
     changes.crashes = context_.crashes.recordsSince(reportedCrashChange_, now);
+    changes.evacuation = context_.registry.evacuation();
     reportedCrashChange_ = context_.crashes.lastChange();
     const auto changesFrame = mesh::encodeFrame(mesh::ReportMessage{std::move(changes)}, now);
     std::string fullFrame;
@@ -350,6 +351,7 @@
             all.profiles = aggregator_.subtreeProfiles();
             aggregator_.addSubtreeStates(all, true);
             all.crashes = context_.crashes.recordsSince(0, now);
+            all.evacuation = context_.registry.evacuation();
             fullFrame = mesh::encodeFrame(mesh::ReportMessage{std::move(all)}, now);
         }
         return fullFrame;
@@ -376,6 +378,7 @@
     }
     report.configurationRevision = context_.registry.configurationRevision();
     report.configurationVersion = context_.registry.configurationVersion();
+    report.evacuation = context_.registry.evacuation();
     const auto now = context_.loop.now();
     report.crashes = context_.crashes.recordsSince(reportedCrashChange_, now);
     const auto frame = mesh::encodeFrame(mesh::ReportMessage{std::move(report)}, now);
@@ -434,6 +437,7 @@
     }
     context_.placement.applyReport(report);
     applyCrashes(report);
+    applyEvacuation(report);
     applyStates(report);
     if (!isRelay_) {
         return {};
@@ -452,8 +456,11 @@
         aggregator_.addFleetStates(digest, true);
         digest.crashes = context_.crashes.recordsSince(0, now);
     }
-    auto frames = mesh::encodeFrame(mesh::ReportMessage{std::move(digest)}, now);
     const auto &registry = context_.registry;
+    if (report.evacuation && mesh::isNewer(registry.evacuation(), *report.evacuation)) {
+        digest.evacuation = registry.evacuation();
+    }
+    auto frames = mesh::encodeFrame(mesh::ReportMessage{std::move(digest)}, now);
     const auto lacksConfiguration = report.configurationVersion
                                       ? *report.configurationVersion < registry.configurationVersion()
                                       : report.configurationRevision < registry.configurationRevision();
@@ -467,6 +474,7 @@
 auto Fleet::handleReportAnswer(const std::string &relay, const mesh::NodeReport &report) -> void
 {
     applyCrashes(report);
+    applyEvacuation(report);
     if (isRelay_ || relay != relay_) {
         return;
     }
@@ -487,6 +495,13 @@
     }
 }
 
+auto Fleet::applyEvacuation(const mesh::NodeReport &report) -> void
+{
+    if (report.evacuation) {
+        context_.registry.applyEvacuation(*report.evacuation);
+    }
+}
+
 auto Fleet::applyStates(const mesh::NodeReport &report) -> void
 {
     for (const auto &member : report.members) {
--- a/src/jasminelatch/sidecar/fleet.hpp
+++ b/src/jasminelatch/sidecar/fleet.hpp
@@ -162,6 +162,7 @@
     auto applyStates(const mesh::NodeReport &report) -> void;
     auto handleReportAnswer(const std::string &relay, const mesh::NodeReport &report) -> void;
     auto applyCrashes(const mesh::NodeReport &report) -> void;
+    auto applyEvacuation(const mesh::NodeReport &report) -> void;
     [[nodiscard]] auto encodeAnswer(const mesh::NodeReport &report, bool isNewSession) -> std::string;
 
     Context context_;
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -33,6 +33,8 @@
 
 /*! @brief Time after which another health query is sent while one is not answered, as the instance may queue it. */
 constexpr Duration healthQueryInterval = std::chrono::seconds{2};
+/*! @brief Time without an answer, with losses meanwhile, after which the instance may have started anew. */
+constexpr Duration restartSilence = std::chrono::seconds{1};
 /*! @brief Maximum length of a request target in a log line. */
 constexpr std::size_t maxLoggedTarget = 100;
 
@@ -54,7 +56,7 @@
     , service_{std::move(service)}
     , hooks_{std::move(hooks)}
     , pool_{context.loop, address, {.echoField = context.dialect.echoField, .budget = &context.budget}}
-    , gate_{{}}
+    , gate_{context.gate}
     , breaker_{{}}
     , rateLimitLoggedAt_{context.loop.now()}
 {
@@ -81,7 +83,11 @@
         pool_.reset();
         breaker_.reset();
         markUp();
+        if (!before.id.empty()) {
+            suspectColdStart("start");
+        }
     }
+    applyColdStart(latest.coldStartRemaining, std::nullopt);
     if (hasRestarted || before.state != latest.state) {
         context_.log.write("instance_state",
                            {{"instance", latest.id},
@@ -113,7 +119,7 @@
     }
     healthQueriedAt_ = now;
     const mesh::Request request{"GET", path, {{"Host", event::toText(address_)}}, {}};
-    pool_.send(request, true, [this, found = std::move(found)](const HttpConnection::Result &result) {
+    pool_.send(request, true, [this, found = std::move(found), now](const HttpConnection::Result &result) {
         healthQueriedAt_.reset();
         if (result.answer && updateCondition(*result.answer)) {
             isLeavingUnnamed_ = record_.report().id.empty();
@@ -125,10 +131,76 @@
         if (report) {
             isLeavingUnnamed_ = false;
             found(*report);
+            applyColdStart(report->coldStartRemaining, now);
+            advance();
         }
     });
 }
 
+auto LocalInstance::setEvacuated(const bool isEvacuated) -> void
+{
+    if (std::exchange(isEvacuated_, isEvacuated) == isEvacuated) {
+        return;
+    }
+    if (isEvacuated) {
+        refuseQueued(mesh::HopReason::Leaving);
+    } else {
+        suspectColdStart("evacuation_ended");
+    }
+}
+
+auto LocalInstance::setColdStart(const Duration duration, const double ratePerSecond) -> void
+{
+    gate_.coldStart().setTerms(duration, ratePerSecond);
+    if (!std::exchange(hasColdStartTerms_, true)) {
+        suspectColdStart("node_start");
+    }
+}
+
+auto LocalInstance::suspectColdStart(const std::string_view cause) -> void
+{
+    gate_.coldStart().suspect(context_.loop.now());
+    logColdStart(cause);
+}
+
+auto LocalInstance::isColdStartSuspected() const -> bool
+{
+    return gate_.coldStart().isSuspected(context_.loop.now());
+}
+
+auto LocalInstance::coldStartRemaining() const -> Duration
+{
+    return gate_.coldStart().remaining(context_.loop.now());
+}
+
+auto LocalInstance::applyColdStart(const Duration left, const std::optional<TimePoint> askedAt) -> void
+{
+    const auto now = context_.loop.now();
+    auto &coldStart = gate_.coldStart();
+    const auto wasLimited = coldStart.isLimited(now);
+    if (askedAt) {
+        coldStart.applyAnswer(left, *askedAt, now);
+    } else {
+        coldStart.applyStated(left, now);
+    }
+    if (coldStart.isLimited(now) != wasLimited) {
+        logColdStart(askedAt ? "health" : "heartbeat");
+    }
+}
+
+auto LocalInstance::logColdStart(const std::string_view cause) -> void
+{
+    const auto now = context_.loop.now();
+    if (gate_.coldStart().rate() <= 0.0) {
+        return;
+    }
+    context_.log.write("instance_cold",
+                       {{"instance", record_.report().id},
+                        {"cause", cause},
+                        {"left_ms", gate_.coldStart().remaining(now) / std::chrono::milliseconds{1}},
+                        {"rate", gate_.coldStart().rate()}});
+}
+
 auto LocalInstance::markLeaving() -> void
 {
     if (!record_.isReady()) {
@@ -148,7 +220,7 @@
 
 auto LocalInstance::isAccepting() const -> bool
 {
-    return record_.isReady() && !stopped_;
+    return record_.isReady() && !stopped_ && !isEvacuated_;
 }
 
 auto LocalInstance::isAvailable() const -> bool
@@ -306,10 +378,16 @@
 auto LocalInstance::updateBreaker(const HttpConnection::Result &result) -> void
 {
     const auto wasLost = breaker_.isOpen();
+    const auto now = context_.loop.now();
     if (result.answer) {
         breaker_.recordAnswer();
+        if (std::exchange(hasLostSinceAnswer_, false) && now - answeredAt_ > internal::restartSilence) {
+            suspectColdStart("silence");
+        }
+        answeredAt_ = now;
     } else if (!result.error.starts_with(internal::malformedPrefix)) {
-        breaker_.recordLoss(context_.loop.now());
+        breaker_.recordLoss(now);
+        hasLostSinceAnswer_ = true;
     }
     if (breaker_.isOpen() != wasLost) {
         context_.log.write(
@@ -484,6 +562,7 @@
     context_.loop.cancel(availabilityTimer_);
     context_.loop.destroyLater(std::move(availabilityCheck_));
     context_.log.write("instance_up", {{"instance", record_.report().id}});
+    suspectColdStart("up");
     hooks_.availabilityChanged();
 }
 
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jasminelatch::sidecar {
@@ -46,6 +47,7 @@
         mesh::CallLearner &learner; /*!< Observes the run time of requests. */
         ByteBudget &budget; /*!< Bounds the memory for partly received responses. */
         mesh::CrashTracker &crashes; /*!< Receives the requests that were running in a crashed instance. */
+        mesh::InstanceGate::Settings gate{}; /*!< Limits on the requests to the instance. */
     };
 
     /*! @brief Functions of the node that the instance calls. */
@@ -84,6 +86,32 @@
      */
     auto queryHealth(const std::string &path, std::function<void(const mesh::InstanceReport &report)> found) -> void;
 
+    /**
+     * @brief Stops or resumes sending requests to the instance; running ones finish. After an evacuation the instance
+     * is held for cold.
+     * @param isEvacuated Whether the failure domain of this node is evacuated.
+     */
+    auto setEvacuated(bool isEvacuated) -> void;
+
+    /**
+     * @brief Sets the terms for cold instances of the service.
+     * @param duration Time for which an instance is cold after its start.
+     * @param ratePerSecond Requests per second that a cold instance tolerates; zero for no limit.
+     */
+    auto setColdStart(Duration duration, double ratePerSecond) -> void;
+
+    /**
+     * @brief Holds the instance for cold until a health query says otherwise, after an event that may hide a start.
+     * @param cause Event, for the log.
+     */
+    auto suspectColdStart(std::string_view cause) -> void;
+
+    /*! @brief Tells whether the instance is held for cold and a health query may say otherwise. */
+    [[nodiscard]] auto isColdStartSuspected() const -> bool;
+
+    /*! @brief Returns the remaining time for which the instance is held for cold and its rate is limited. */
+    [[nodiscard]] auto coldStartRemaining() const -> Duration;
+
     /*! @brief Stops sending requests to the present start of the instance, since it is leaving. */
     auto markLeaving() -> void;
 
@@ -156,6 +184,8 @@
         std::optional<mesh::HopReply> lostReply;
     };
 
+    auto applyColdStart(Duration left, std::optional<TimePoint> askedAt) -> void;
+    auto logColdStart(std::string_view cause) -> void;
     auto run(std::uint64_t requestId) -> void;
     auto refuseQueued(mesh::HopReason reason) -> void;
     auto handleResult(std::uint64_t requestId, HttpConnection::Result result) -> void;
@@ -197,6 +227,7 @@
     std::uint64_t startedSinceLog_{}; /*!< Requests sent since the last log line on the rate limit. */
     TimePoint rateLimitLoggedAt_;
     bool stopped_{};
+    bool isEvacuated_{}; /*!< Whether the instance gets no requests, since its failure domain is evacuated. */
     std::optional<TimePoint> healthQueriedAt_; /*!< When the health query under way was sent. */
     bool isLeavingUnnamed_{}; /*!< Whether an instance whose id is not known yet says that it is leaving. */
     bool isDown_{}; /*!< Whether the instance accepts no connections. */
@@ -209,6 +240,9 @@
     event::TimerId releaseTimer_{};
     event::TimerId availabilityTimer_{};
     TimePoint crashCheckedAt_;
+    bool hasColdStartTerms_{}; /*!< Whether the configuration of the service is known. */
+    TimePoint answeredAt_; /*!< When the instance last answered a request. */
+    bool hasLostSinceAnswer_{}; /*!< Whether it has lost a request since. */
 };
 
 } // namespace jasminelatch::sidecar
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -48,6 +48,8 @@
 constexpr Duration withdrawalLead = std::chrono::milliseconds{500};
 /*! @brief Time in which the last answers of a stopping node leave. */
 constexpr Duration lastAnswerLead = std::chrono::milliseconds{50};
+/*! @brief Fraction of the requests beyond a cold instance's rate that are used. */
+constexpr double coldMarginFraction = 0.5;
 constexpr Duration stopCheckInterval = std::chrono::milliseconds{50};
 
 auto registrySettings(const Settings &settings) -> RegistryClient::Settings
@@ -68,6 +70,15 @@
     return caps;
 }
 
+auto gateSettings(const Settings &settings) -> mesh::InstanceGate::Settings
+{
+    mesh::InstanceGate::Settings gate;
+    // Half of the margin is left for requests that the instance counts in a later second than this node.
+    gate.coldStart.rateFactor = 1.0 + (settings.coldOverFactor - 1.0) * coldMarginFraction;
+    gate.coldStart.burst = settings.coldSlackRequests * coldMarginFraction;
+    return gate;
+}
+
 auto retryBudgetSettings(const Settings &settings) -> mesh::RetryBudget::Settings
 {
     return {.ratio = settings.retryRatio, .slack = settings.retrySlack, .window = settings.retryWindow};
@@ -88,7 +99,7 @@
     , learner_{{}}
     , admission_{{}}
     , crashes_{{}}
-    , instance_{{loop, dialect_, log_, counters_, learner_, budget_, crashes_},
+    , instance_{{loop, dialect_, log_, counters_, learner_, budget_, crashes_, internal::gateSettings(settings_)},
                 settings_.instance,
                 settings_.service,
                 {[this] {
@@ -107,8 +118,9 @@
                  [this](const std::optional<mesh::InstanceDeparture> &departure) { handleDepartureKnown(departure); },
                  [this](const std::set<std::string> &names) { fleet_.dropUnlistedPeers(names); },
                  [this](const mesh::StoredCrash &stored) { quarantines_.merge(stored, loop_->now()); },
+                 [this] { handleStoreRestored(); },
                  [this] {
-                     handleStoreRestored();
+                     applyEvacuation();
                  }}}
     , writer_{{loop, dialect_, log_, counters_}, settings_.store, {}}
     , quarantines_{{log_, crashes_, writer_}}
@@ -331,9 +343,19 @@
     }
 }
 
+auto Node::applyEvacuation() -> void
+{
+    const auto &domains = registry_.evacuation().domains;
+    placement_.setEvacuated(domains);
+    instance_.setEvacuated(domains.contains(settings_.domain));
+    publishOwnMember();
+}
+
 auto Node::probeInstance() -> void
 {
-    if (!canProbe() || (!instance_.isAwaitingFirstAnswer() && !instance_.latest().id.empty())) {
+    const auto isWanted =
+        instance_.isAwaitingFirstAnswer() || instance_.latest().id.empty() || instance_.isColdStartSuspected();
+    if (!isWanted || !canProbe()) {
         return;
     }
     const auto &path = configuration_->findService(settings_.service)->healthPath;
@@ -395,6 +417,9 @@
     caps_.setAccounts(configuration_->configuration().accounts, loop_->now());
     admission_.setRoutes(configuration_->configuration());
     router_.setConfiguration(configuration_);
+    if (const auto *service = configuration_->findService(settings_.service); service != nullptr) {
+        instance_.setColdStart(service->coldStart, service->coldRatePerSecond);
+    }
     if (isFirst) {
         probeInstance();
     }
@@ -443,6 +468,9 @@
     decayedAt_ = now;
     fleet_.update();
     quarantines_.update(now);
+    if (instance_.isColdStartSuspected()) {
+        probeInstance();
+    }
     admission_.update([this](const std::string &service) { return placement_.capacity(service); }, now);
     instance_.setFleetProfiles(admission_.profiles());
     instance_.setInstanceCount(placement_.capacity(settings_.service).instances);
@@ -486,11 +514,13 @@
     return {{"configuration_version", static_cast<double>(version)},
             {"store_era", static_cast<double>(registry_.storeEra())},
             {"configuration_fresh", registry_.isFresh() ? 1.0 : 0.0},
+            {"evacuated_domains", static_cast<double>(registry_.evacuation().domains.size())},
             {"peers", static_cast<double>(fleet_.peerCount())},
             {"relay", fleet_.isRelay() ? 1.0 : 0.0},
             {"instance_running", load.running},
             {"instance_queued", load.queued},
             {"instance_limit", load.limit},
+            {"instance_cold_seconds", std::chrono::duration<double>(instance_.coldStartRemaining()).count()},
             {"instance_rate_limit", instance_.rateLimit().value_or(-1.0)},
             {"crash_suspects", static_cast<double>(crashes_.suspectCount())},
             {"instance_run_seconds", std::chrono::duration<double>(load.runTime).count()},
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -81,6 +81,7 @@
     auto handleStoreRestored() -> void;
     [[nodiscard]] auto canProbe() const -> bool;
     auto applyConfiguration(mesh::Configuration configuration) -> void;
+    auto applyEvacuation() -> void;
     auto probeInstance() -> void;
     auto applyUnlessDeparted(const mesh::InstanceReport &report) -> void;
     [[nodiscard]] auto hasDeparted(const mesh::InstanceReport &report) const -> bool;
--- a/src/jasminelatch/sidecar/peer_server.cpp
+++ b/src/jasminelatch/sidecar/peer_server.cpp
@@ -63,7 +63,7 @@
     }
 }
 
-auto PeerServer::handleMessage(const std::uint64_t session, mesh::PeerMessage message) -> bool
+auto PeerServer::handleMessage(const std::uint64_t session, mesh::PeerMessage &&message) -> bool
 {
     auto &peer = sessions_.at(session);
     if (auto *request = std::get_if<mesh::RequestMessage>(&message)) {
--- a/src/jasminelatch/sidecar/peer_server.hpp
+++ b/src/jasminelatch/sidecar/peer_server.hpp
@@ -73,7 +73,7 @@
 
     auto handleAccepted(boost::asio::ip::tcp::socket socket) -> void;
     auto receive(std::uint64_t session, std::span<const char> bytes) -> void;
-    auto handleMessage(std::uint64_t session, mesh::PeerMessage message) -> bool;
+    auto handleMessage(std::uint64_t session, mesh::PeerMessage &&message) -> bool;
     auto start(std::uint64_t session, mesh::RequestMessage message) -> void;
     auto handleFinished(std::uint64_t session, std::uint64_t exchange, mesh::HopReply reply) -> void;
     auto end(std::uint64_t session) -> void;
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -95,6 +95,26 @@
     freshness_.markApplied(configurationVersion_);
 }
 
+auto RegistryClient::applyEvacuation(const mesh::Evacuation &evacuation) -> void
+{
+    if (!mesh::isNewer(evacuation, evacuation_)) {
+        return;
+    }
+    const auto hasChanged = evacuation.domains != evacuation_.domains;
+    evacuation_ = evacuation;
+    if (hasChanged) {
+        context_.log.write(
+            "evacuation",
+            {{"domains", evacuation.domains}, {"revision", evacuation.revision}, {"era", evacuation.era}});
+        hooks_.evacuationChanged();
+    }
+}
+
+auto RegistryClient::evacuation() const noexcept -> const mesh::Evacuation &
+{
+    return evacuation_;
+}
+
 auto RegistryClient::setRelayRank(const bool isRelay,
                                   const std::size_t rank,
                                   const std::size_t peers,
@@ -161,6 +181,7 @@
     if (after.empty()) {
         isListing_ = true;
         listedNames_.clear();
+        listedEvacuations_.clear();
         listingRevision_.reset();
     }
     const auto sentAt = context_.loop.now();
@@ -191,6 +212,7 @@
     }
     for (const auto &item : page->items) {
         apply(item);
+        noteListedEvacuation(item);
     }
     if (page->hasMore && !page->items.empty()) {
         listAll(page->items.back().key);
@@ -206,6 +228,7 @@
     hasFullListing_ = true;
     listedAt_ = context_.loop.now();
     revision_ = *listingRevision_;
+    applyEvacuation({storeEra(), revision_, listedEvacuations_});
     confirm(listingSentAt_);
     if (isWatching_) {
         watch();
@@ -228,9 +251,10 @@
 {
     if (after.empty()) {
         listedNames_.clear();
+        listedEvacuations_.clear();
     }
     context_.counters.add("store.list_records");
-    // The first listing reads the configuration as well.
+    // The first listing reads the configuration and the evacuations as well.
     const auto prefix = isFirstListing_ ? std::string_view{} : ownPrefix;
     callChannel_.call(context_.dialect.store.list(prefix, after, true),
                       settings_.callTimeout,
@@ -249,6 +273,7 @@
     }
     for (const auto &item : page->items) {
         apply(item);
+        noteListedEvacuation(item);
     }
     freshness_.markApplied(configurationVersion_);
     if (page->hasMore && !page->items.empty()) {
@@ -258,6 +283,7 @@
     const auto wasFirst = std::exchange(isFirstListing_, false);
     reportListedMembers();
     if (wasFirst) {
+        applyEvacuation({storeEra(), page->revision, listedEvacuations_});
         scheduleRecordListing();
         return;
     }
@@ -285,7 +311,7 @@
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.watch");
     watchChannel_.call(
-        context_.dialect.store.watch(context_.dialect.store.configurationKey, revision_, settings_.watchTimeout),
+        context_.dialect.store.watch(context_.dialect.store.operatorPrefix, revision_, settings_.watchTimeout),
         settings_.watchTimeout + settings_.callTimeout,
         [this, sentAt](const auto &result) { handleWatchResult(result, sentAt); });
 }
@@ -371,7 +397,7 @@
     const auto sentAt = context_.loop.now();
     context_.counters.add("store.ask");
     pollChannel_.call(
-        context_.dialect.store.watch(context_.dialect.store.configurationKey, revision_, internal::pollWait),
+        context_.dialect.store.watch(context_.dialect.store.operatorPrefix, revision_, internal::pollWait),
         settings_.callTimeout,
         [this, sentAt](const auto &result) { handlePollResult(result, sentAt); });
 }
@@ -407,6 +433,7 @@
         // The watch and a poll may deliver the same change; an older answer must not overwrite a newer one.
         if (item.revision > revision_) {
             apply(item);
+            applyEvacuationChange(item);
             hasChanges = true;
         }
     }
@@ -460,6 +487,39 @@
     hooks_.memberListed(*member);
 }
 
+auto RegistryClient::evacuatedDomain(const StoreItem &item) const -> std::optional<std::string>
+{
+    const auto &prefix = context_.dialect.store.evacuationPrefix;
+    if (!item.key.starts_with(prefix) || item.key.size() == prefix.size()) {
+        return std::nullopt;
+    }
+    return item.key.substr(prefix.size());
+}
+
+auto RegistryClient::noteListedEvacuation(const StoreItem &item) -> void
+{
+    if (auto domain = evacuatedDomain(item)) {
+        listedEvacuations_.insert(std::move(*domain));
+    }
+}
+
+auto RegistryClient::applyEvacuationChange(const StoreItem &item) -> void
+{
+    const auto domain = evacuatedDomain(item);
+    if (!domain) {
+        return;
+    }
+    auto changed = evacuation_;
+    changed.era = storeEra();
+    changed.revision = item.revision;
+    if (item.removed) {
+        changed.domains.erase(*domain);
+    } else {
+        changed.domains.insert(*domain);
+    }
+    applyEvacuation(changed);
+}
+
 auto RegistryClient::applyCrash(const StoreItem &item) -> void
 {
     const auto stored = mesh::decodeStoredCrash(item.value);
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -7,6 +7,7 @@
 
 #include <jasminelatch/core/counters.hpp>
 #include <jasminelatch/event/loop.hpp>
+#include <jasminelatch/mesh/evacuation.hpp>
 #include <jasminelatch/mesh/freshness.hpp>
 #include <jasminelatch/mesh/instance_departure.hpp>
 #include <jasminelatch/mesh/member.hpp>
@@ -89,6 +90,7 @@
         std::function<void(const std::set<std::string> &names)> membersListed;
         std::function<void(const mesh::StoredCrash &stored)> crashListed; /*!< A quarantined request was read. */
         std::function<void()> storeRestored; /*!< An older copy has replaced the store. */
+        std::function<void()> evacuationChanged; /*!< The set of evacuated failure domains has changed. */
     };
 
     /*! @brief Dependencies; all must outlive the client. */
@@ -139,6 +141,15 @@
      */
     auto applyRelayedConfiguration(const mesh::ConfigurationMessage &message) -> void;
 
+    /**
+     * @brief Applies the evacuated failure domains that another node has forwarded; a set that is not newer is ignored.
+     * @param evacuation The set.
+     */
+    auto applyEvacuation(const mesh::Evacuation &evacuation) -> void;
+
+    /*! @brief Returns the evacuated failure domains as far as known. */
+    [[nodiscard]] auto evacuation() const noexcept -> const mesh::Evacuation &;
+
     /**
      * @brief Sets this node's role and its rank among the nodes that poll the store.
      * @param isRelay Whether this node is a relay and watches the configuration.
@@ -191,6 +202,10 @@
     auto applyChanges(const StorePage &page, TimePoint sentAt) -> bool;
     [[nodiscard]] auto readPage(const HttpConnection::Result &result) const -> std::optional<StorePage>;
     auto apply(const StoreItem &item) -> void;
+    /*! @brief Returns the failure domain that an item evacuates, or nothing for other items. */
+    [[nodiscard]] auto evacuatedDomain(const StoreItem &item) const -> std::optional<std::string>;
+    auto noteListedEvacuation(const StoreItem &item) -> void;
+    auto applyEvacuationChange(const StoreItem &item) -> void;
     auto applyCrash(const StoreItem &item) -> void;
     /*! @brief Removes an item that a node has recorded long ago, if this node is the one that cleans up. */
     auto removeIfExpired(const StoreItem &item, std::uint64_t recordedMs, Duration memory) -> void;
@@ -249,6 +264,8 @@
     std::size_t relayRank_{};
     std::uint64_t configurationVersion_{};
     bool hasConfiguration_{};
+    mesh::Evacuation evacuation_;
+    std::set<std::string> listedEvacuations_; /*!< Failure domains that the current listing shows as evacuated. */
     std::set<std::string> listedNames_; /*!< Names of nodes seen by the current listing. */
     Duration listInterval_;
     bool ownRecordWasMissing_{}; /*!< Whether the previous listing lacked this node's record. */
--- a/src/jasminelatch/sidecar/settings.cpp
+++ b/src/jasminelatch/sidecar/settings.cpp
@@ -8,6 +8,7 @@
 namespace internal {
 
 constexpr record::Range<double> ratioRange{0.0, 10.0};
+constexpr record::Range<double> coldOverRange{1.0, 10.0};
 constexpr record::Range<double> slackRange{0.0, 1e6};
 constexpr record::Range<double> memoryRange{16.0, 1e6};
 
@@ -65,6 +66,8 @@
     settings.capOverFraction = terms.requiredNumber("cap_over_part", internal::ratioRange);
     settings.capWindow = internal::duration(terms, "cap_window");
     settings.capExcessRequests = terms.requiredNumber("cap_excess", internal::slackRange);
+    settings.coldOverFactor = terms.number("cold_over", internal::coldOverRange, settings.coldOverFactor);
+    settings.coldSlackRequests = terms.number("cold_slack", internal::slackRange, settings.coldSlackRequests);
     terms.finish();
     auto limits = reader.section("limits");
     const auto megabytes = limits.requiredNumber("memory_mb", internal::memoryRange);
--- a/src/jasminelatch/sidecar/settings.hpp
+++ b/src/jasminelatch/sidecar/settings.hpp
@@ -35,6 +35,8 @@
     Duration capWindow{}; /*!< Window over which requests beyond a cap are counted. */
     double capExcessRequests{}; /*!< Requests per window by which all nodes together may exceed the cap in addition. */
     std::size_t memoryBytes{}; /*!< Memory limit of the node in bytes. */
+    double coldOverFactor{1.0}; /*!< Requests per second that a cold instance may get, relative to its rate. */
+    double coldSlackRequests{}; /*!< Requests in one second that it may get in addition. */
 };
 
 /**
--- a/test/jasminelatch/mesh/peer_message.cpp
+++ b/test/jasminelatch/mesh/peer_message.cpp
@@ -78,6 +78,7 @@
     report.profiles = {{"order", 10, 20ms, {{"tiles", 2.0}}}};
     report.member = Member{"vm", 5, {"10.0.0.1", 7000}, "a", "orders", "i-1", 30, true, 3s, 4};
     report.configurationVersion = 12;
+    report.evacuation = Evacuation{2, 40, {"a", "b"}};
     const auto bytes = encodeFrame(ReportMessage{report}, start);
     FrameReader reader{maxFrame};
     std::optional<NodeReport> seen;
@@ -93,6 +94,7 @@
     EXPECT_EQ(seen->load.queued, 2U);
     EXPECT_EQ(seen->member, report.member);
     EXPECT_EQ(seen->configurationVersion, 12U);
+    EXPECT_EQ(seen->evacuation, report.evacuation);
 }
 
 TEST(ReportAck, ForwardsTheStoreConfirmation)
--- a/test/jasminelatch/mesh/placement.cpp
+++ b/test/jasminelatch/mesh/placement.cpp
@@ -234,4 +234,19 @@
     EXPECT_NE(placement.chooseForSuspect("vistas", {}, true, start + 10s), nullptr);
 }
 
+TEST(Placement, InstancesOfAnEvacuatedDomainGetNoRequestsAndAddNoCapacity)
+{
+    auto placement = localAndRemote();
+    const auto before = placement.capacity("vistas");
+    placement.setEvacuated({"a"});
+    EXPECT_EQ(placement.capacity("vistas").instances + 1, before.instances);
+    for (auto count = 0; count < 50; ++count) {
+        EXPECT_EQ(placement.choose("vistas", {}, start)->domain, "b");
+    }
+    placement.setEvacuated({"a", "b"});
+    EXPECT_EQ(placement.choose("vistas", {}, start), nullptr);
+    placement.setEvacuated({});
+    EXPECT_EQ(placement.capacity("vistas").instances, before.instances);
+}
+
 } // namespace jasminelatch::mesh
--- a/test/jasminelatch/sidecar/relay_fleet.cpp
+++ b/test/jasminelatch/sidecar/relay_fleet.cpp
@@ -78,6 +78,14 @@
     EXPECT_EQ(fetchAt(loopback, leaf(), "/m/1", "k1").status, 401U);
 }
 
+TEST_F(RelayFleetTest, ANodeThatDoesNotWatchTheStoreHearsOfAnEvacuation)
+{
+    store.put("op/evacuate/a", base64("{}"));
+    EXPECT_TRUE(loopback.runUntil([&] { return metric(leaf(), "evacuated_domains") == 1; }, 5s));
+    store.erase("op/evacuate/a");
+    EXPECT_TRUE(loopback.runUntil([&] { return metric(leaf(), "evacuated_domains") == 0; }, 5s));
+}
+
 TEST_F(RelayFleetTest, AConfigurationWhoseRevisionARestoredStoreGivesOutAgainIsInForceAtAllNodesInTime)
 {
     for (const std::string round : {"1", "2"}) {
--- a/test/support/platform_store.hpp
+++ b/test/support/platform_store.hpp
@@ -26,6 +26,8 @@
  */
 class PlatformStore
 {
+    using Json = nlohmann::json;
+
 public:
     /*! @brief Listening address of the store; several addresses allow faults for some nodes only. */
     struct Address {
@@ -76,6 +78,9 @@
         wakeWatches();
     }
 
+    /*! @brief Removes an item as an operator would. */
+    auto erase(const std::string &key) -> void { change({{"puts", Json::array()}, {"deletes", {key}}}); }
+
     /*! @brief Keeps a copy of the present contents for `restore`. */
     auto keepCopy() -> void { copy_ = Copy{items_, revision_, lastLease_}; }
 
@@ -109,8 +114,6 @@
     std::size_t renewals{}; /*!< Cumulative count of lease renewals. */
 
 private:
-    using Json = nlohmann::json;
-
     struct Copy {
         std::map<std::string, Json> items;
         std::uint64_t revision{};
