Explain where a request would go now, without sending it

Operators asked for a command that says where a given request would go and why. jasminelatchctl explain asks a node at its metrics address; the answer names route, account and cap, the admitted fraction of its trees, and each candidate with its state, load and expected cost, the choice first. Placement lists its candidates without a random choice, so that nothing changes by asking.

--- a/src/jasminelatch/control/failure.hpp
+++ b/src/jasminelatch/control/failure.hpp
@@ -17,7 +17,8 @@
     Usage = 2, /*!< Wrong command line. */
     Conflict = 3, /*!< Another operator was faster; nothing was written. */
     StoreUnreachable = 4, /*!< The store did not answer; the message says what may have been written. */
-    NotInForce = 5 /*!< Not in force everywhere in time. */
+    NotInForce = 5, /*!< Not in force everywhere in time. */
+    NodeUnreachable = 6 /*!< The node that was asked does not answer. */
 };
 
 /*! @brief Error of an operation: why it was given up. */
--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -3,10 +3,37 @@
 #include "instance_record.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace jasminelatch::mesh {
 
+auto toText(const CandidateState state) -> std::string_view
+{
+    switch (state) {
+    case CandidateState::Healthy:
+        return "healthy";
+    case CandidateState::LastResort:
+        return "last_resort";
+    case CandidateState::Ejected:
+        return "ejected";
+    case CandidateState::Unreachable:
+        return "unreachable";
+    case CandidateState::NotAccepting:
+        return "not_accepting";
+    case CandidateState::Leaving:
+        return "leaving";
+    case CandidateState::Evacuated:
+        return "evacuated";
+    }
+    return "unknown";
+}
+
+auto isSelectable(const CandidateState state) -> bool
+{
+    return state == CandidateState::Healthy || state == CandidateState::LastResort;
+}
+
 Placement::Placement(Settings settings, std::string ownDomain, const std::uint64_t seed)
     : settings_{settings}
     , ownDomain_{std::move(ownDomain)}
@@ -202,13 +229,62 @@
     return capacity;
 }
 
+auto Placement::candidates(const std::string &service, const TimePoint now) const -> std::vector<PlacementCandidate>
+{
+    const auto meanTime = meanRunTime(service);
+    std::vector<PlacementCandidate> found;
+    for (const auto &[name, endpoint] : endpoints_) {
+        if (endpoint.member.service == service) {
+            const auto time = expectedTime(endpoint, meanTime, now);
+            found.push_back({endpoint.member,
+                             stateOf(endpoint, now),
+                             endpoint.load,
+                             limitOf(endpoint),
+                             endpoint.inFlight,
+                             Duration{static_cast<Duration::rep>(time)}});
+        }
+    }
+    if (std::ranges::none_of(found, [](const auto &each) { return each.state == CandidateState::Healthy; })) {
+        for (auto &candidate : found) {
+            if (candidate.state == CandidateState::Ejected || candidate.state == CandidateState::Unreachable) {
+                candidate.state = CandidateState::LastResort;
+            }
+        }
+    }
+    std::ranges::stable_sort(found, std::less{}, [](const PlacementCandidate &candidate) {
+        return std::pair{!isSelectable(candidate.state), candidate.expectedTime};
+    });
+    return found;
+}
+
+auto Placement::hasDeparted(const Member &member) const -> bool
+{
+    const auto found = departures_.find(member.name);
+    return found != departures_.end() && found->second.instanceId == member.instanceId
+        && isSameStart(found->second.instanceStartMs, member.instanceStartMs);
+}
+
 auto Placement::accepts(const Endpoint &endpoint) const -> bool
 {
     const auto &member = endpoint.member;
-    const auto found = departures_.find(member.name);
-    const auto hasDeparted = found != departures_.end() && found->second.instanceId == member.instanceId
-                          && isSameStart(found->second.instanceStartMs, member.instanceStartMs);
-    return member.accepting && !hasDeparted && !evacuated_.contains(member.domain);
+    return member.accepting && !hasDeparted(member) && !evacuated_.contains(member.domain);
+}
+
+auto Placement::stateOf(const Endpoint &endpoint, const TimePoint now) const -> CandidateState
+{
+    if (evacuated_.contains(endpoint.member.domain)) {
+        return CandidateState::Evacuated;
+    }
+    if (hasDeparted(endpoint.member)) {
+        return CandidateState::Leaving;
+    }
+    if (!endpoint.member.accepting) {
+        return CandidateState::NotAccepting;
+    }
+    if (!endpoint.isReachable) {
+        return CandidateState::Unreachable;
+    }
+    return endpoint.ejectedUntil > now ? CandidateState::Ejected : CandidateState::Healthy;
 }
 
 auto Placement::limitOf(const Endpoint &endpoint) -> std::uint32_t
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -13,10 +13,42 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jasminelatch::mesh {
 
+/*! @brief Why an instance is selected, or is not. */
+enum class CandidateState : std::uint8_t {
+    Healthy, /*!< It may be selected. */
+    LastResort, /*!< It is ejected or unreachable, and there is no healthy instance. */
+    Ejected, /*!< It has failed several requests in a row. */
+    Unreachable, /*!< Its node does not respond. */
+    NotAccepting, /*!< Its node says that it accepts no requests. */
+    Leaving, /*!< It has said that it is leaving. */
+    Evacuated /*!< Its failure domain is evacuated. */
+};
+
+/*! @brief Instance of a service as `Placement` sees it. */
+struct PlacementCandidate {
+    Member member; /*!< Record of its node. */
+    CandidateState state{}; /*!< Whether it may be selected. */
+    InstanceLoad load; /*!< Load as last reported; a limit of zero means unknown. */
+    std::uint32_t limit{}; /*!< Concurrency limit that counts. */
+    std::uint32_t inFlight{}; /*!< Requests of this node without a reply. */
+    Duration expectedTime{}; /*!< Cost of sending it a request, in time; the least is selected. */
+};
+
+/**
+ * @brief Returns the name of a state in explanations.
+ * @param state State of a candidate.
+ * @return Lower-case words joined by underscores.
+ */
+[[nodiscard]] auto toText(CandidateState state) -> std::string_view;
+
+/*! @brief Returns whether requests are sent to an instance in this state. */
+[[nodiscard]] auto isSelectable(CandidateState state) -> bool;
+
 /**
  * @brief Selects the instance for a request: the one expected to finish it first, with a preference for the own failure
  * domain.
@@ -125,6 +157,15 @@
     [[nodiscard]] auto choose(const std::string &service, std::span<const std::string> exclude, TimePoint now)
         -> const Member *;
 
+    /**
+     * @brief Lists the instances of a service and what selecting each would cost, without selecting one.
+     * @param service Name of the service.
+     * @param now Current time.
+     * @return Those that may be selected come first, the cheapest before the others; the choice between instances that
+     * cost nearly the same is random.
+     */
+    [[nodiscard]] auto candidates(const std::string &service, TimePoint now) const -> std::vector<PlacementCandidate>;
+
     /**
      * @brief Selects a member for a request that may crash the instance that runs it.
      *
@@ -190,7 +231,9 @@
         TimePoint at;
     };
 
+    [[nodiscard]] auto hasDeparted(const Member &member) const -> bool;
     [[nodiscard]] auto accepts(const Endpoint &endpoint) const -> bool;
+    [[nodiscard]] auto stateOf(const Endpoint &endpoint, TimePoint now) const -> CandidateState;
     [[nodiscard]] auto fastest(std::span<const Endpoint *const> candidates, const std::string &service, TimePoint now)
         -> const Member *;
     [[nodiscard]] static auto limitOf(const Endpoint &endpoint) -> std::uint32_t;
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -1,6 +1,7 @@
 #include "node.hpp"
 
 #include "metrics_text.hpp"
+#include "route_explanation.hpp"
 #include "store_keys.hpp"
 #include "wall_clock.hpp"
 
@@ -16,6 +17,9 @@
 /*! @brief Minimum interval between log lines on the admission plan. */
 constexpr Duration planLogInterval = std::chrono::seconds{1};
 
+/*! @brief Path on the metrics address at which operators ask where a request would go. */
+constexpr std::string_view explainPath = "/explain";
+
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusUnavailable = 503;
@@ -48,8 +52,8 @@
 constexpr Duration withdrawalLead = std::chrono::milliseconds{500};
 /*! @brief Time in which the last answers of a stopping node leave. */
 constexpr Duration lastAnswerLead = std::chrono::milliseconds{50};
-/*! @brief Fraction of the requests beyond a cold instance's rate that are used. */
-constexpr double coldMarginFraction = 0.5;
+/*! @brief Fraction of the slack of a cold instance that is used. */
+constexpr double coldSlackFraction = 0.5;
 constexpr Duration stopCheckInterval = std::chrono::milliseconds{50};
 
 auto registrySettings(const Settings &settings) -> RegistryClient::Settings
@@ -73,9 +77,9 @@
 auto gateSettings(const Settings &settings) -> mesh::InstanceGate::Settings
 {
     mesh::InstanceGate::Settings gate;
-    // Half of the margin is left for requests that the instance counts in a later second than this node.
-    gate.coldStart.rateFactor = 1.0 + (settings.coldOverFactor - 1.0) * coldMarginFraction;
-    gate.coldStart.burst = settings.coldSlackRequests * coldMarginFraction;
+    // A part of the slack is left for requests that the instance counts in a later second than this node.
+    gate.coldStart.rateFactor = settings.coldOverFactor;
+    gate.coldStart.burst = settings.coldSlackRequests * coldSlackFraction;
     return gate;
 }
 
@@ -165,7 +169,9 @@
                 [](std::uint64_t) {},
                 HttpServer::smallLimits,
                 nullptr}}
-    , metrics_{loop, HttpServer::synchronousHooks([this](const mesh::Request &) { return answerMetrics(); })}
+    , metrics_{loop, HttpServer::synchronousHooks([this](const mesh::Request &request) {
+                   return request.target == internal::explainPath ? answerExplanation(request) : answerMetrics();
+               })}
 {
 }
 
@@ -257,6 +263,19 @@
     return answer;
 }
 
+auto Node::answerExplanation(const mesh::Request &request) const -> mesh::Answer
+{
+    std::string error;
+    const auto explained = parseExplainedRequest(request.body, error);
+    auto answer = makeAnswer(explained ? internal::statusOk : internal::statusBadRequest, {});
+    answer.fields.push_back({"Content-Type", "application/json"});
+    const ExplanationContext context{
+        configuration_.get(), registry_.isFresh(), settings_.domain, placement_, caps_, admission_};
+    answer.body =
+        explained ? explainRequest(*explained, context, loop_->now()).dump() : nlohmann::json{{"error", error}}.dump();
+    return answer;
+}
+
 auto Node::handleReport(const mesh::Request &request, HttpServer::Respond respond) -> void
 {
     std::string error;
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -74,6 +74,7 @@
 private:
     [[nodiscard]] auto answerReady() const -> mesh::Answer;
     [[nodiscard]] auto answerMetrics() const -> mesh::Answer;
+    [[nodiscard]] auto answerExplanation(const mesh::Request &request) const -> mesh::Answer;
     auto handleReport(const mesh::Request &request, HttpServer::Respond respond) -> void;
     [[nodiscard]] auto mustHold(const mesh::InstanceReport &report) const -> bool;
     auto acknowledge(const mesh::InstanceReport &report, HttpServer::Respond respond) -> void;
--- a/src/jasminelatch/sidecar/request_router.cpp
+++ b/src/jasminelatch/sidecar/request_router.cpp
@@ -1,5 +1,7 @@
 #include "request_router.hpp"
 
+#include "request_rank.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -23,8 +25,6 @@
 constexpr Duration replyGracePeriod = std::chrono::milliseconds{40};
 /*! @brief Time for which the answer of an expired request may be under way when the node ends. */
 constexpr Duration endMargin = std::chrono::milliseconds{100};
-/*! @brief Rank of calls within admitted call trees: refusing one wastes the work already done in its tree. */
-constexpr std::uint32_t callRank = 0;
 /*! @brief A client's request may wait for a slot for the latency target divided by this number. */
 constexpr int queueWaitDivisor = 4;
 /*! @brief Shortest wait limit of a request that is sent to another instance after its queue wait has run out. */
@@ -33,8 +33,6 @@
 constexpr Duration restartTime = std::chrono::seconds{5};
 /*! @brief `Retry-After` of a request that may have caused a crash while too few instances are left to try it. */
 constexpr Duration suspectRetryAfter = std::chrono::seconds{2};
-/*! @brief Number of route priorities within one account priority. */
-constexpr std::uint32_t ranksPerAccountPriority = 16;
 
 } // namespace internal
 
@@ -217,7 +215,7 @@
     if (end_ && hop.deadline + internal::endMargin > *end_) {
         return Refusal{internal::statusUnavailable, "node_stopping", std::max(*end_ - now, mesh::minRetryAfter)};
     }
-    hop.rank = internal::callRank;
+    hop.rank = callRank;
     hop.waitLimit = hop.deadline - now;
     if (account != nullptr) {
         if (const auto refusal = admitRoot(*route, *account, hop)) {
@@ -234,8 +232,7 @@
     -> std::optional<Refusal>
 {
     hop.account = account.name;
-    hop.rank = 1 + account.priority * internal::ranksPerAccountPriority
-             + std::min(route.priority, internal::ranksPerAccountPriority - 1);
+    hop.rank = rankOf(route, account);
     hop.waitLimit = std::min<Duration>(hop.waitLimit, route.latencyTarget / internal::queueWaitDivisor);
     const auto now = context_.loop.now();
     if (const auto wait = context_.caps.admit(account.name, now); wait > Duration::zero()) {
--- a/src/programs/jasminelatchctl/main.cpp
+++ b/src/programs/jasminelatchctl/main.cpp
@@ -1,5 +1,6 @@
 #include <jasminelatch/control/directory.hpp>
 #include <jasminelatch/control/operator.hpp>
+#include <jasminelatch/net/http_client.hpp>
 #include <jasminelatch/net/store_client.hpp>
 
 #include <CLI/CLI.hpp>
@@ -18,7 +19,8 @@
 constexpr Duration statusTimeout = std::chrono::seconds{1};
 
 constexpr auto footer = "Exit codes: 0 done, 1 findings in the input, 2 wrong command line, 3 another operator was\n"
-                        "faster, 4 the store does not answer, 5 not in force everywhere in time.";
+                        "faster, 4 the store does not answer, 5 not in force everywhere in time,\n"
+                        "6 the node does not answer.";
 
 /*! @brief Everything that the command line can set. */
 struct Options {
@@ -34,6 +36,10 @@
     bool prune{};
     bool wait{};
     bool vmsAreDead{};
+    std::string host;
+    std::string target;
+    std::string account;
+    std::uint32_t timeLeftMs{};
 };
 
 using Command = std::function<Result<Report>(const Operator &)>;
@@ -211,6 +217,47 @@
     });
 }
 
+auto explain(const Options &options) -> Result<Report>
+{
+    if (options.nodes.size() != 1) {
+        return boost::leaf::new_error(Failure{ExitCode::Usage, "name one node with --node, its metrics address", {}});
+    }
+    nlohmann::json request{{"host", options.host}, {"target", options.target}, {"account", options.account}};
+    if (options.timeLeftMs > 0) {
+        request["time_left_ms"] = options.timeLeftMs;
+    }
+    const auto result = net::performHttp({.method = "POST",
+                                          .url = "http://" + options.nodes.front() + "/explain",
+                                          .body = request.dump(),
+                                          .timeout = statusTimeout});
+    const auto explanation = nlohmann::json::parse(result.response.body, nullptr, false);
+    if (result.end != net::HttpEnd::Answered || !explanation.is_object()) {
+        return boost::leaf::new_error(
+            Failure{ExitCode::NodeUnreachable, "the node " + options.nodes.front() + " does not answer", {}});
+    }
+    if (explanation.value("outcome", std::string{}) == "refused" || explanation.contains("error")) {
+        std::cout << explanation.dump(2) << '\n';
+        const auto reason = explanation.contains("error") ? explanation.at("error") : explanation.at("reason");
+        return boost::leaf::new_error(
+            Failure{ExitCode::Findings, "the request would be refused: " + reason.get<std::string>(), {}});
+    }
+    return Report{explanation.dump(2) + "\n", explanation, {}};
+}
+
+auto addExplainCommand(CLI::App &app, Options &options, Command &chosen) -> void
+{
+    auto *command = app.add_subcommand("explain", "Explain where a request would go now, without sending it");
+    command->add_option("host", options.host, "Host of the request")->required();
+    command->add_option("path", options.target, "Its path")->required();
+    command->add_option("--account", options.account, "Client account; without one it counts as a call");
+    command->add_option("--time-left", options.timeLeftMs, "Time until its deadline, in milliseconds");
+    command->callback([&] {
+        chosen = [&](const Operator &) {
+            return explain(options);
+        };
+    });
+}
+
 auto addFleetCommands(CLI::App &app, Options &options, Command &chosen) -> void
 {
     app.add_subcommand("status", "Show the revision in force at every node")->callback([&] {
@@ -251,6 +298,7 @@
     addRecordCommands(app, options, chosen);
     addKeyCommands(app, options, chosen);
     addFleetCommands(app, options, chosen);
+    addExplainCommand(app, options, chosen);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
