Treat a response without a valid status as unreadable

What callers would see: an instance in trouble sends a response with status 000, and the client receives 200 with whatever bytes follow on the connection; statuses from 600 on reach it as they are.

Cause: every status below 200 was skipped like an interim one and every other one delivered. The HTTP parser accepts any three digits. Nodes passed statuses on to each other unchecked.

ReplyMessage.AnAnswerWithoutAValidFinalStatusIsUnreadable failed. Letters, a wrong number of digits and a missing status were unreadable before.

Why this works: a response whose status is neither final (200 to 599) nor interim (100 to 199 without 101) fails as soon as its head is complete, closes the connection and drops what follows; the reply is bad_answer with an unknown outcome, so 502, or a retry of an idempotent request as before. decodeReply does the same for the answer of a peer, which may be of an earlier build, and leaves the connection between the nodes open. HttpServer writes 502 in the place of an invalid status. 101 is unreadable too: no node asks for another protocol, and the bytes after it are not HTTP.

--- a/src/jasminelatch/mesh/http.cpp
+++ b/src/jasminelatch/mesh/http.cpp
@@ -23,6 +23,21 @@
 
 } // namespace internal
 
+auto isFinalStatus(const unsigned status) -> bool
+{
+    constexpr unsigned first = 200;
+    constexpr unsigned last = 599;
+    return status >= first && status <= last;
+}
+
+auto isInterimStatus(const unsigned status) -> bool
+{
+    constexpr unsigned first = 100;
+    constexpr unsigned switchingProtocols = 101;
+    constexpr unsigned last = 199;
+    return status >= first && status <= last && status != switchingProtocols;
+}
+
 auto sameName(const std::string_view left, const std::string_view right) -> bool
 {
     return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
--- a/src/jasminelatch/mesh/http.hpp
+++ b/src/jasminelatch/mesh/http.hpp
@@ -29,6 +29,21 @@
     std::string body; /*!< Body without transfer framing. */
 };
 
+/**
+ * @brief Tells whether a status code ends a request: 200 to 599.
+ * @param status Status code of a response.
+ * @return False for interim statuses and for those that HTTP does not define (RFC 9110, section 15).
+ */
+[[nodiscard]] auto isFinalStatus(unsigned status) -> bool;
+
+/**
+ * @brief Tells whether a response with a status code is followed by the final one: 100 to 199 except 101, which says
+ * that the server no longer speaks HTTP on the connection. No request of a node asks for that.
+ * @param status Status code of a response.
+ * @return Whether to skip the response and read the next one.
+ */
+[[nodiscard]] auto isInterimStatus(unsigned status) -> bool;
+
 /**
  * @brief Compares two field names, ignoring case.
  * @param left First name.
--- a/src/jasminelatch/mesh/peer_message.cpp
+++ b/src/jasminelatch/mesh/peer_message.cpp
@@ -338,6 +338,13 @@
     reply.crash = json.size() >= sizeWithCrash ? json.at(10).get<CrashId>() : CrashId{};
     reply.answer = {
         json.at(7).get<unsigned>(), json.at(8).get<std::string>(), decodeFields(json.at(9)), std::move(body)};
+    if (reply.outcome == HopOutcome::Answered && !isFinalStatus(reply.answer.status)) {
+        // Earlier builds pass on whatever status an instance sends.
+        reply.outcome = HopOutcome::Unknown;
+        reply.reason = HopReason::BadAnswer;
+        reply.reached = true;
+        reply.answer = {};
+    }
     return message;
 }
 
--- a/src/jasminelatch/sidecar/http_connection.cpp
+++ b/src/jasminelatch/sidecar/http_connection.cpp
@@ -141,6 +141,11 @@
         failMalformed(error.message());
         return false;
     }
+    if (parser_->is_header_done() && !hasValidStatus()) {
+        // Before its body arrives: what an invalid response says about its end is not to be trusted either.
+        failMalformed("invalid status " + std::to_string(parser_->get().result_int()));
+        return false;
+    }
     if (exceedsBufferLimit()) {
         failMalformed("buffer limit exceeded");
         return false;
@@ -164,13 +169,18 @@
     return !isWithinBudget || input_.size() > internal::maxUnreadBytes;
 }
 
+auto HttpConnection::hasValidStatus() const -> bool
+{
+    const auto status = parser_->get().result_int();
+    return mesh::isFinalStatus(status) || mesh::isInterimStatus(status);
+}
+
 auto HttpConnection::completeMessage() -> bool
 {
     auto message = parser_->release();
     const auto keepAlive = message.keep_alive() && !message.need_eof();
     const auto status = message.result_int();
-    constexpr unsigned firstFinalStatus = 200;
-    if (status < firstFinalStatus) {
+    if (mesh::isInterimStatus(status)) {
         return skipMessage();
     }
     mesh::Answer answer{status, std::string{message.reason()}, {}, std::move(message.body())};
--- a/src/jasminelatch/sidecar/http_connection.hpp
+++ b/src/jasminelatch/sidecar/http_connection.hpp
@@ -22,8 +22,8 @@
 /**
  * @brief Client side of an HTTP/1.1 connection that carries one request at a time.
  *
- * Buffers whole responses. Bytes that arrive without an outstanding request make the connection unusable and are
- * discarded.
+ * Buffers whole responses. A response whose status is neither final nor interim is an error. Bytes that arrive without
+ * an outstanding request make the connection unusable and are discarded.
  */
 class HttpConnection
 {
@@ -90,6 +90,7 @@
     [[nodiscard]] auto skipMessage() -> bool;
     auto streamClosed(std::string_view reason) -> void;
     auto failMalformed(std::string_view reason) -> void;
+    [[nodiscard]] auto hasValidStatus() const -> bool;
     [[nodiscard]] auto exceedsBufferLimit() -> bool;
     auto finish(Result result) -> void;
     auto resetParser() -> void;
--- a/src/jasminelatch/sidecar/http_server.cpp
+++ b/src/jasminelatch/sidecar/http_server.cpp
@@ -104,6 +104,10 @@
         if (state_ != State::Answering || sequence != sequence_) {
             return;
         }
+        if (!mesh::isFinalStatus(answer.status)) {
+            // The source of the answer must have rejected it; this is the last check before the client.
+            answer = {static_cast<unsigned>(http::status::bad_gateway), {}, {}, {}};
+        }
         const auto closes = closesAfterResponse_ || server_->isDraining_;
         stream_.write(internal::serialize(answer, isHeadRequest_, closes));
         requestId_ = 0;
--- a/test/jasminelatch/mesh/peer_message.cpp
+++ b/test/jasminelatch/mesh/peer_message.cpp
@@ -65,6 +65,54 @@
     reader.feed({bytes.data(), bytes.size()}, start, [](const PeerMessage &) { return true; });
 }
 
+TEST(ReplyMessage, AnAnswerWithoutAValidFinalStatusIsUnreadable)
+{
+    // Guards against a peer of an earlier build, which passes on whatever status an instance sends.
+    for (const auto status : {0U, 99U, 100U, 101U, 199U, 600U, 999U, 70000U}) {
+        ReplyMessage message{9, {}};
+        message.reply.outcome = HopOutcome::Answered;
+        message.reply.load.limit = 20;
+        message.reply.answer = {status, "Bad", {{"A", "b"}}, "body"};
+        const auto bytes = encodeFrame(message, start) + encodeFrame(CancelMessage{7}, start);
+        std::vector<PeerMessage> seen;
+        FrameReader reader{maxFrame};
+        EXPECT_TRUE(reader.feed(bytes, start, [&](PeerMessage received) {
+            seen.push_back(std::move(received));
+            return true;
+        }));
+        ASSERT_EQ(seen.size(), 2U) << "the connection carries other requests too";
+        const auto &reply = std::get<ReplyMessage>(seen[0]).reply;
+        EXPECT_EQ(reply.outcome, HopOutcome::Unknown) << status;
+        EXPECT_EQ(reply.reason, HopReason::BadAnswer) << status;
+        EXPECT_TRUE(reply.reached) << status;
+        EXPECT_EQ(reply.load.limit, 20U);
+        EXPECT_TRUE(reply.answer.body.empty());
+    }
+}
+
+TEST(ReplyMessage, ValidStatusesAndRepliesWithoutAnAnswerAreUnchanged)
+{
+    const auto roundTrip = [](const HopReply &reply) {
+        std::optional<HopReply> seen;
+        FrameReader reader{maxFrame};
+        reader.feed(encodeFrame(ReplyMessage{9, reply}, start), start, [&](PeerMessage received) {
+            seen = std::get<ReplyMessage>(received).reply;
+            return true;
+        });
+        return seen.value();
+    };
+    for (const auto status : {200U, 204U, 304U, 404U, 503U, 599U}) {
+        const auto reply = roundTrip({.outcome = HopOutcome::Answered, .answer = {status, {}, {}, "body"}});
+        EXPECT_EQ(reply.outcome, HopOutcome::Answered);
+        EXPECT_EQ(reply.answer.status, status);
+        EXPECT_EQ(reply.answer.body, "body");
+    }
+    const auto refusal = roundTrip({.outcome = HopOutcome::NotRun, .reason = HopReason::QueueFull});
+    EXPECT_EQ(refusal.outcome, HopOutcome::NotRun);
+    EXPECT_EQ(refusal.reason, HopReason::QueueFull);
+    EXPECT_FALSE(refusal.reached);
+}
+
 TEST(FrameReader, RejectsAnOversizedFrame)
 {
     FrameReader reader{64};
--- a/test/jasminelatch/sidecar/http_server.cpp
+++ b/test/jasminelatch/sidecar/http_server.cpp
@@ -54,6 +54,22 @@
     EXPECT_LT(client.received.find("one"), client.received.find("two"));
 }
 
+TEST_F(HttpServerTest, WritesNoStatusThatIsNoFinalOne)
+{
+    // The last check before a client; a status of 0 was written as `HTTP/1.1 0`.
+    for (const auto status : {0U, 99U, 101U, 600U, 999U}) {
+        RawClient client{loopback, endpoint};
+        client.stream.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        ASSERT_TRUE(awaitRequests(1));
+        responds[0]({status, "Bad", {{"X", "1"}}, "body"});
+        ASSERT_TRUE(loopback.runUntil([&] { return client.received.ends_with("\r\n\r\n"); }, 500ms)) << client.received;
+        EXPECT_TRUE(client.received.starts_with("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n"))
+            << client.received;
+        requests.clear();
+        responds.clear();
+    }
+}
+
 TEST_F(HttpServerTest, ReassemblesAChunkedBody)
 {
     RawClient client{loopback, endpoint};
