Tolerate steps of the wall clock: incarnations, sessions, starts of instances

What callers would see: a VM's clock is stepped back while its node or instance restarts. Its peers ignore the node, or the node its instance, for as long as it runs, and requests are refused although the instance is healthy.

Cause: incarnations, sessions and born are wall-clock times and are compared as if they rose over restarts, and between two VMs.

RelayAggregator.ALaterProcess* got the digest of session 9000 in the place of 4000.

Why this works: an incarnation only has to exceed those of ended processes. Only one process listens at an address, so that a later record there is of an ended one; a later one of the own name elsewhere is taken for such during the lease after the start. A node learns of them from the listing, from the conflict of its first write and from peers, which answer a report that they would ignore with the record they know (a digest, which earlier builds accept), and raises its own; the new sessions count nothing twice. The aggregator compares sessions within an incarnation. An instance that sends three reports over 4 s, none of another start between them, runs, whatever its born; late reports of an ended one are fewer and mixed with those of the next.

No wire format changes. LocalInstanceTest passes the new argument of LocalInstance::report.

--- a/src/jasminelatch/mesh/fwd.hpp
+++ b/src/jasminelatch/mesh/fwd.hpp
@@ -11,6 +11,7 @@
 class InstanceRateLimit;
 class InstanceRecord;
 class Placement;
+class ReportedStart;
 class RetryBudget;
 class UsageCaps;
 struct Answer;
--- a/src/jasminelatch/mesh/instance_departure.cpp
+++ b/src/jasminelatch/mesh/instance_departure.cpp
@@ -17,8 +17,12 @@
 {
     const auto isSame =
         report.id == departure.instanceId && (report.startTimeMs == 0 || report.startTimeMs == departure.startTimeMs);
-    const auto isEarlier = report.startTimeMs != 0 && report.startTimeMs < departure.startTimeMs;
-    return isSame || isEarlier;
+    return isSame || isOfEarlierStart(departure, report);
+}
+
+auto isOfEarlierStart(const InstanceDeparture &departure, const InstanceReport &report) -> bool
+{
+    return report.startTimeMs != 0 && report.startTimeMs < departure.startTimeMs;
 }
 
 auto encodeDeparture(const InstanceDeparture &departure) -> std::string
--- a/src/jasminelatch/mesh/instance_departure.hpp
+++ b/src/jasminelatch/mesh/instance_departure.hpp
@@ -30,6 +30,17 @@
  */
 [[nodiscard]] auto covers(const InstanceDeparture &departure, const InstanceReport &report) -> bool;
 
+/**
+ * @brief Tells whether a report comes from a start that precedes the one that departed, by the wall clock of the VM.
+ *
+ * Load pattern: two instances leave in a row and reports of the first are late; or the clock was stepped back before
+ * the next instance started, which then keeps reporting.
+ * @param departure Latest departure on the VM.
+ * @param report Report of an instance there.
+ * @return Whether the start times differ in this order.
+ */
+[[nodiscard]] auto isOfEarlierStart(const InstanceDeparture &departure, const InstanceReport &report) -> bool;
+
 /**
  * @brief Serializes a departure.
  * @param departure The departure.
--- a/src/jasminelatch/mesh/instance_record.cpp
+++ b/src/jasminelatch/mesh/instance_record.cpp
@@ -14,9 +14,9 @@
     return left.id == right.id && isSameStart(left.startTimeMs, right.startTimeMs);
 }
 
-auto InstanceRecord::apply(const InstanceReport &report) -> bool
+auto InstanceRecord::apply(const InstanceReport &report, const bool isRunning) -> bool
 {
-    if (isStale(report)) {
+    if (isStale(report, isRunning)) {
         return false;
     }
     const auto sameStart = isSameStart(report, report_);
@@ -54,12 +54,12 @@
     return report_;
 }
 
-auto InstanceRecord::isStale(const InstanceReport &report) const -> bool
+auto InstanceRecord::isStale(const InstanceReport &report, const bool isRunning) const -> bool
 {
     if (isSameStart(report, report_)) {
         return report.state != InstanceState::Gone && report.sequence <= report_.sequence;
     }
-    return report.startTimeMs < report_.startTimeMs;
+    return !isRunning && report.startTimeMs < report_.startTimeMs;
 }
 
 } // namespace jasminelatch::mesh
--- a/src/jasminelatch/mesh/instance_record.hpp
+++ b/src/jasminelatch/mesh/instance_record.hpp
@@ -57,9 +57,10 @@
     /**
      * @brief Applies a report.
      * @param report Registration, heartbeat or deregistration.
+     * @param isRunning Whether its start is known to be running, so that it is not late even if its time is earlier.
      * @return False if the report is stale or concerns another instance, and is ignored.
      */
-    auto apply(const InstanceReport &report) -> bool;
+    auto apply(const InstanceReport &report, bool isRunning = false) -> bool;
 
     /*! @brief Marks the present start of the instance as draining, since one of its answers says that it is leaving. */
     auto markLeaving() -> void;
@@ -71,7 +72,7 @@
     [[nodiscard]] auto report() const noexcept -> const InstanceReport &;
 
 private:
-    [[nodiscard]] auto isStale(const InstanceReport &report) const -> bool;
+    [[nodiscard]] auto isStale(const InstanceReport &report, bool isRunning) const -> bool;
 
     InstanceReport report_;
 };
--- a/src/jasminelatch/mesh/member.cpp
+++ b/src/jasminelatch/mesh/member.cpp
@@ -22,6 +22,13 @@
     return std::tie(left.incarnation, left.version) < std::tie(right.incarnation, right.version);
 }
 
+auto isEndedButLater(const Member &own, const Member &other) -> bool
+{
+    const auto isLater =
+        other.name == own.name ? other.incarnation > own.incarnation : other.incarnation >= own.incarnation;
+    return isLater && other.address == own.address;
+}
+
 auto encodeMember(const Member &member) -> std::string
 {
     const nlohmann::json json{{"name", member.name},
--- a/src/jasminelatch/mesh/member.hpp
+++ b/src/jasminelatch/mesh/member.hpp
@@ -14,7 +14,8 @@
 /*! @brief Membership record of a node, as kept in the store and sent in its first report to each peer. */
 struct Member {
     std::string name; /*!< Name of the VM. */
-    std::uint64_t incarnation{}; /*!< Start of the node process; unique and increasing over restarts. */
+    std::uint64_t incarnation{}; /*!< Start of the node process in Unix milliseconds, or a later number: increases over
+                                  restarts also when the clock was stepped back. */
     event::Endpoint address; /*!< Address on which other nodes connect. */
     std::string domain; /*!< Failure domain. */
     std::string service; /*!< Service of the local instance. */
@@ -36,6 +37,17 @@
  */
 [[nodiscard]] auto isOlder(const Member &left, const Member &right) -> bool;
 
+/**
+ * @brief Tells whether a record that would take precedence is of a process that has ended, by the address.
+ *
+ * Only one process listens at an address. A later incarnation there is of an earlier process: it started while the wall
+ * clock was ahead, or on a lost VM with another clock whose address was assigned again.
+ * @param own Record of the running process.
+ * @param other Record of the same or another VM.
+ * @return Whether the running process needs a later incarnation to be believed.
+ */
+[[nodiscard]] auto isEndedButLater(const Member &own, const Member &other) -> bool;
+
 /**
  * @brief Serializes a membership record.
  * @param member Membership record.
--- a/src/jasminelatch/mesh/relay_aggregator.cpp
+++ b/src/jasminelatch/mesh/relay_aggregator.cpp
@@ -92,8 +92,12 @@
 {
     const auto [found, isFirst] = sources_.try_emplace(report.name);
     auto &source = found->second;
-    const auto isNewSession = isFirst || source.session != report.session || source.kind != report.kind;
-    if (isNewSession && report.session >= source.session) {
+    // A process that started after a step back of the clock has lower session numbers than the one before.
+    const std::pair origin{report.incarnation, report.session};
+    const std::pair knownOrigin{source.incarnation, source.session};
+    const auto isNewSession = isFirst || origin != knownOrigin || source.kind != report.kind;
+    if (isNewSession && origin >= knownOrigin) {
+        source.incarnation = report.incarnation;
         source.session = report.session;
         source.kind = report.kind;
         beginSession(source);
--- a/src/jasminelatch/mesh/relay_aggregator.hpp
+++ b/src/jasminelatch/mesh/relay_aggregator.hpp
@@ -143,6 +143,7 @@
     /*! @brief State of a leaf or another relay that sends reports. */
     struct Source {
         ReportKind kind{};
+        std::uint64_t incarnation{};
         std::uint64_t session{};
         std::uint32_t nodes{};
         TimePoint lastReportAt;
--- a/src/jasminelatch/sidecar/fleet.cpp
+++ b/src/jasminelatch/sidecar/fleet.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace jasminelatch::sidecar {
@@ -30,6 +31,10 @@
 constexpr Duration failureHoldTime = std::chrono::seconds{2};
 /*! @brief Time after its last relay report for which a node counts as a relay. */
 constexpr Duration relayTimeout = std::chrono::seconds{1};
+/*! @brief Time after its start in which a node takes a later record of its own name for that of a process that has
+ * ended, whatever its address: the lease of that process's record. Afterwards it may be of a VM that replaces this one.
+ */
+constexpr Duration takeoverTime = RegistryClient::Settings{}.leaseDuration;
 
 /*! @brief Tells whether a VM has taken over the address of a lost one whose record has not expired yet. */
 auto supersedes(const mesh::Member &later, const mesh::Member &earlier) -> bool
@@ -43,6 +48,7 @@
     : context_{context}
     , hooks_{std::move(hooks)}
     , self_{own}
+    , startedAt_{context.loop.now()}
     , aggregator_{{}}
 {
     plan_.relays = {self_.name};
@@ -50,8 +56,29 @@
     becomeRelay();
 }
 
+auto Fleet::isOutrankedBy(const mesh::Member &member) const -> bool
+{
+    const auto isStarting = context_.loop.now() - startedAt_ < internal::takeoverTime;
+    const auto isEarlierProcess = isStarting && member.name == self_.name && member.incarnation > self_.incarnation;
+    return isEarlierProcess || mesh::isEndedButLater(self_, member);
+}
+
+auto Fleet::setIncarnation(const std::uint64_t incarnation) -> void
+{
+    self_.incarnation = incarnation;
+    if (isRelay_) {
+        becomeRelay();
+    } else if (!relay_.empty()) {
+        startSession(relay_);
+    }
+    dropSuperseded(self_);
+}
+
 auto Fleet::updateMember(const mesh::Member &member) -> void
 {
+    if (isOutrankedBy(member)) {
+        hooks_.outranked(member.incarnation);
+    }
     if (member.name == self_.name) {
         return;
     }
@@ -277,7 +304,10 @@
     relay_.clear();
     sentReport_.resetCounts();
     reportedCrashChange_ = 0;
-    aggregator_.begin(nextSession(), session_.countedReport());
+    auto counted = session_.countedReport();
+    // Counts of an earlier incarnation would be counted again.
+    counted.incarnation = self_.incarnation;
+    aggregator_.begin(nextSession(), counted);
     context_.log.write("relay_role", {{"relay", true}, {"peers", peers_.size()}, {"relays", plan_.relays.size()}});
 }
 
@@ -308,7 +338,10 @@
     const auto own = hooks_.ownReport();
     context_.caps.reportSent(now);
     context_.placement.applyReport(own);
-    context_.admission.applyReport(own, now);
+    auto counted = own;
+    // The counts of this process go on when its incarnation is raised.
+    counted.incarnation = 0;
+    context_.admission.applyReport(counted, now);
     if (isRelay_) {
         reportToRelays(own);
     } else {
@@ -426,6 +459,7 @@
         return {};
     }
     const auto now = context_.loop.now();
+    auto outranking = recordsOutranking(report);
     if (report.member && report.member->name == report.name) {
         updateMember(*report.member);
     }
@@ -439,16 +473,50 @@
     applyCrashes(report);
     applyEvacuation(report);
     applyStates(report);
-    if (!isRelay_) {
+    auto isNewSession = false;
+    if (isRelay_) {
+        context_.caps.applyReport(report, now);
+        context_.admission.applyReport(report, now);
+        isNewSession = aggregator_.apply(report, now);
+        if (report.kind == mesh::ReportKind::Own) {
+            return encodeAnswer(report, isNewSession, std::move(outranking));
+        }
+    }
+    if (outranking.empty()) {
         return {};
     }
-    context_.caps.applyReport(report, now);
-    context_.admission.applyReport(report, now);
-    const auto isNewSession = aggregator_.apply(report, now);
-    return report.kind == mesh::ReportKind::Own ? encodeAnswer(report, isNewSession) : std::string{};
+    mesh::NodeReport answer;
+    answer.name = self_.name;
+    answer.kind = mesh::ReportKind::Digest;
+    answer.members = std::move(outranking);
+    return mesh::encodeFrame(mesh::ReportMessage{std::move(answer)}, now);
 }
 
-auto Fleet::encodeAnswer(const mesh::NodeReport &report, const bool isNewSession) -> std::string
+auto Fleet::recordsOutranking(const mesh::NodeReport &report) const -> std::vector<mesh::Member>
+{
+    std::vector<mesh::Member> records;
+    const auto addIfLater = [&](const std::string &name, const std::uint64_t incarnation) {
+        const auto known = peers_.find(name);
+        if (known != peers_.end() && known->second.member.incarnation > incarnation) {
+            records.push_back(known->second.member);
+        }
+    };
+    addIfLater(report.name, report.incarnation);
+    for (const auto &member : report.members) {
+        addIfLater(member.name, member.incarnation);
+    }
+    if (report.member) {
+        for (const auto &[name, peer] : peers_) {
+            if (name != report.name && mesh::isEndedButLater(*report.member, peer.member)) {
+                records.push_back(peer.member);
+            }
+        }
+    }
+    return records;
+}
+
+auto Fleet::encodeAnswer(const mesh::NodeReport &report, const bool isNewSession, std::vector<mesh::Member> outranking)
+    -> std::string
 {
     const auto now = context_.loop.now();
     auto digest = aggregator_.digest(report.name, hooks_.ownState());
@@ -456,6 +524,7 @@
         aggregator_.addFleetStates(digest, true);
         digest.crashes = context_.crashes.recordsSince(0, now);
     }
+    std::ranges::move(outranking, std::back_inserter(digest.members));
     const auto &registry = context_.registry;
     if (report.evacuation && mesh::isNewer(registry.evacuation(), *report.evacuation)) {
         digest.evacuation = registry.evacuation();
@@ -475,6 +544,9 @@
 {
     applyCrashes(report);
     applyEvacuation(report);
+    for (const auto &member : report.members) {
+        updateMember(member);
+    }
     if (isRelay_ || relay != relay_) {
         return;
     }
--- a/src/jasminelatch/sidecar/fleet.hpp
+++ b/src/jasminelatch/sidecar/fleet.hpp
@@ -25,6 +25,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jasminelatch::sidecar {
 
@@ -60,6 +61,8 @@
         std::function<mesh::NodeReport()>
             ownState; /*!< Returns the part of the report that describes the node and its instance. */
         std::function<void(std::string_view frame)> broadcast; /*!< Sends a frame to the nodes that report here. */
+        /*! @brief Called with the incarnation of an ended process that would take precedence over this one. */
+        std::function<void(std::uint64_t incarnation)> outranked;
     };
 
     /**
@@ -80,6 +83,12 @@
      */
     auto updateMember(const mesh::Member &member) -> void;
 
+    /**
+     * @brief Begins to report under a later incarnation; requests are neither lost nor counted twice by it.
+     * @param incarnation Incarnation that the hooks' reports state from now on.
+     */
+    auto setIncarnation(std::uint64_t incarnation) -> void;
+
     /**
      * @brief Drops nodes that have no record and are not live.
      * @param names Names of all nodes that have a record.
@@ -163,11 +172,16 @@
     auto handleReportAnswer(const std::string &relay, const mesh::NodeReport &report) -> void;
     auto applyCrashes(const mesh::NodeReport &report) -> void;
     auto applyEvacuation(const mesh::NodeReport &report) -> void;
-    [[nodiscard]] auto encodeAnswer(const mesh::NodeReport &report, bool isNewSession) -> std::string;
+    [[nodiscard]] auto isOutrankedBy(const mesh::Member &member) const -> bool;
+    [[nodiscard]] auto recordsOutranking(const mesh::NodeReport &report) const -> std::vector<mesh::Member>;
+    [[nodiscard]] auto encodeAnswer(const mesh::NodeReport &report,
+                                    bool isNewSession,
+                                    std::vector<mesh::Member> outranking) -> std::string;
 
     Context context_;
     Hooks hooks_;
     mesh::Member self_; /*!< Record of this node at its start; holds no instance state. */
+    TimePoint startedAt_;
     std::map<std::string, Peer> peers_;
     mesh::RelayPlan plan_;
     mesh::RelayAggregator aggregator_;
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -63,14 +63,14 @@
     gate_.awaitFirstAnswer(context_.loop.now());
 }
 
-auto LocalInstance::report(const mesh::InstanceReport &report) -> bool
+auto LocalInstance::report(const mesh::InstanceReport &report, const bool isRunning) -> bool
 {
     const auto before = record_.report();
     if (isLeavingUnnamed_ && report.state == mesh::InstanceState::Ready) {
         // It may have been sent before the instance began to leave.
         return false;
     }
-    if (!record_.apply(report)) {
+    if (!record_.apply(report, isRunning)) {
         return false;
     }
     isLeavingUnnamed_ = false;
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -72,10 +72,11 @@
     /**
      * @brief Applies a report of the instance.
      * @param report Report of its id, state and slots.
+     * @param isRunning Whether its start is known to be running, whatever its time.
      * @return False if the report was ignored: it is out of date, or the health endpoint says that an instance which is
      * not known yet is leaving.
      */
-    auto report(const mesh::InstanceReport &report) -> bool;
+    auto report(const mesh::InstanceReport &report, bool isRunning) -> bool;
 
     /**
      * @brief Queries the health endpoint of the instance, so that a node that starts beside a running instance need not
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -5,6 +5,8 @@
 #include "store_keys.hpp"
 #include "wall_clock.hpp"
 
+#include <jasminelatch/core/json_fields.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <functional>
@@ -132,8 +134,10 @@
              ownMember(),
              {[this] { return ownReport(); },
               [this] { return ownState(); },
-              [this](const std::string_view frame) {
-                  peerServer_.broadcast(frame);
+              [this](const std::string_view frame) { peerServer_.broadcast(frame); },
+              [this](const std::uint64_t incarnation) {
+                  // A report or a listing is being applied.
+                  loop_->defer([this, incarnation] { raiseIncarnation(incarnation); });
               }}}
     , router_{{loop, dialect_, log_, counters_, placement_, caps_, retryBudget_, admission_, learner_, crashes_},
               settings_.service,
@@ -285,10 +289,11 @@
         respond(makeAnswer(internal::statusBadRequest, {}));
         return;
     }
+    reportedStart_.record(*report, loop_->now());
     if (mustHold(*report)) {
         heldReport_ = *report;
     } else {
-        applyInstanceReport(withKnownDeparture(*report));
+        applyUnlessLate(*report);
     }
     if (instance_.latest().id.empty()) {
         probeInstance();
@@ -346,7 +351,7 @@
 auto Node::applyInstanceReport(const mesh::InstanceReport &report) -> void
 {
     const auto before = ownMember();
-    if (!instance_.report(report)) {
+    if (!instance_.report(report, reportedStart_.isRunning(report))) {
         return;
     }
     auto after = ownMember();
@@ -403,7 +408,7 @@
         applyUnlessDeparted(*report);
     }
     if (const auto report = std::exchange(heldReport_, std::nullopt)) {
-        applyInstanceReport(withKnownDeparture(*report));
+        applyUnlessLate(*report);
     }
 }
 
@@ -415,6 +420,17 @@
     }
 }
 
+auto Node::applyUnlessLate(const mesh::InstanceReport &report) -> void
+{
+    // The start before the one that departed, or one after a step back of the clock: it is used once it keeps
+    // reporting.
+    const auto mayBeLate = report.state == mesh::InstanceState::Ready && departure_
+                        && mesh::isOfEarlierStart(*departure_, report) && !reportedStart_.isRunning(report);
+    if (!mayBeLate) {
+        applyInstanceReport(withKnownDeparture(report));
+    }
+}
+
 auto Node::withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport
 {
     // A report that was sent before the departure may arrive after this process has started.
@@ -426,7 +442,8 @@
 
 auto Node::hasDeparted(const mesh::InstanceReport &report) const -> bool
 {
-    return departure_ && mesh::covers(*departure_, report);
+    return departure_ && mesh::covers(*departure_, report)
+        && !(mesh::isOfEarlierStart(*departure_, report) && reportedStart_.isRunning(report));
 }
 
 auto Node::applyConfiguration(mesh::Configuration configuration) -> void
@@ -455,6 +472,18 @@
     fleet_.sendReports();
 }
 
+auto Node::raiseIncarnation(const std::uint64_t above) -> void
+{
+    if (above < incarnation_ || above >= maxUnixMilliseconds) {
+        return;
+    }
+    counters_.add("node.incarnation_raised");
+    log_.write("incarnation_raised", {{"before", incarnation_}, {"above", above}});
+    incarnation_ = above + 1;
+    fleet_.setIncarnation(incarnation_);
+    publishOwnMember();
+}
+
 auto Node::scheduleEarlyReport() -> void
 {
     const auto due = caps_.earlyReportAt();
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -21,6 +21,7 @@
 #include <jasminelatch/mesh/instance_departure.hpp>
 #include <jasminelatch/mesh/member.hpp>
 #include <jasminelatch/mesh/placement.hpp>
+#include <jasminelatch/mesh/reported_start.hpp>
 #include <jasminelatch/mesh/retry_budget.hpp>
 #include <jasminelatch/mesh/tree_admission.hpp>
 #include <jasminelatch/mesh/usage_caps.hpp>
@@ -85,11 +86,13 @@
     auto applyEvacuation() -> void;
     auto probeInstance() -> void;
     auto applyUnlessDeparted(const mesh::InstanceReport &report) -> void;
+    auto applyUnlessLate(const mesh::InstanceReport &report) -> void;
     [[nodiscard]] auto hasDeparted(const mesh::InstanceReport &report) const -> bool;
     [[nodiscard]] auto withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport;
     auto applyInstanceReport(const mesh::InstanceReport &report) -> void;
     auto handleDepartureKnown(const std::optional<mesh::InstanceDeparture> &departure) -> void;
     auto publishOwnMember() -> void;
+    auto raiseIncarnation(std::uint64_t above) -> void;
     auto tick() -> void;
     auto logPlan(TimePoint now) -> void;
     auto scheduleEarlyReport() -> void;
@@ -135,6 +138,7 @@
     std::shared_ptr<const mesh::ConfigurationIndex> configuration_;
     std::optional<mesh::InstanceReport> healthReport_; /*!< Held back until an earlier departure is known. */
     std::optional<mesh::InstanceReport> heldReport_; /*!< Latest report of a ready instance, held back likewise. */
+    mesh::ReportedStart reportedStart_{{}};
     std::optional<mesh::InstanceDeparture> departure_; /*!< Departure that an earlier process acknowledged. */
     mesh::InstanceDeparture recorded_; /*!< Departure that this process has recorded last. */
     TimePoint openedAt_;
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -775,6 +775,7 @@
             context_.log.write("earlier_departure_unreadable", {{"answer_read", true}});
         }
     }
+    std::optional<mesh::Member> former;
     // Earlier builds kept a departure in the record, which may also be this process's own write with a lost answer.
     for (const auto &item : items.value_or(std::vector<StoreItem>{})) {
         const auto record = item.key == storeKey(recordPrefix, ownRecord_->name) ? mesh::decodeMember(item.value)
@@ -783,8 +784,13 @@
             && record->incarnation != ownRecord_->incarnation) {
             departure = {record->instanceId, record->instanceStartMs};
         }
+        former = record ? record : former;
     }
     setDeparture(departure);
+    if (former) {
+        // It may have a later incarnation than this process, after a step back of the clock.
+        hooks_.memberListed(*former);
+    }
 }
 
 auto RegistryClient::setDeparture(const std::optional<mesh::InstanceDeparture> &departure) -> void
--- a/test/jasminelatch/mesh/instance_departure.cpp
+++ b/test/jasminelatch/mesh/instance_departure.cpp
@@ -37,6 +37,16 @@
     EXPECT_FALSE(covers(departure, reportOf("i-3", 0)));
 }
 
+TEST(InstanceDeparture, TellsAnEarlierStartFromTheOneThatDeparted)
+{
+    const InstanceDeparture departure{"i-2", 1700, 1800};
+    EXPECT_TRUE(isOfEarlierStart(departure, reportOf("i-1", 1600)));
+    EXPECT_TRUE(isOfEarlierStart(departure, reportOf("i-2", 1600)));
+    EXPECT_FALSE(isOfEarlierStart(departure, reportOf("i-2", 1700)));
+    EXPECT_FALSE(isOfEarlierStart(departure, reportOf("i-2", 0)));
+    EXPECT_FALSE(isOfEarlierStart(departure, reportOf("i-3", 1900)));
+}
+
 RC_GTEST_PROP(InstanceDeparture, RejectsArbitraryText, (const std::string &text))
 {
     RC_ASSERT(!decodeDeparture(text));
--- a/test/jasminelatch/mesh/instance_record.cpp
+++ b/test/jasminelatch/mesh/instance_record.cpp
@@ -71,4 +71,16 @@
     EXPECT_TRUE(record.isReady());
 }
 
+TEST(InstanceRecord, ARunningStartReplacesOneWhoseTimeIsLater)
+{
+    // Guards against an instance that is ignored for good: its clock was stepped back before it started.
+    InstanceRecord record;
+    record.apply(report("i-1", 300, 50, InstanceState::Draining));
+    EXPECT_FALSE(record.apply(report("i-2", 100, 1, InstanceState::Ready))) << "it may be late";
+    EXPECT_TRUE(record.apply(report("i-2", 100, 4, InstanceState::Ready), true));
+    EXPECT_TRUE(record.isReady());
+    EXPECT_FALSE(record.apply(report("i-2", 100, 3, InstanceState::Draining), true)) << "sequence numbers still count";
+    EXPECT_TRUE(record.apply(report("i-1", 300, 51, InstanceState::Ready))) << "the later start reports after all";
+}
+
 } // namespace jasminelatch::mesh
--- a/test/jasminelatch/mesh/peer_message.cpp
+++ b/test/jasminelatch/mesh/peer_message.cpp
@@ -186,6 +186,22 @@
     EXPECT_FALSE(isOlder(second, first));
 }
 
+TEST(Member, ALaterRecordAtTheSameAddressIsOfAnEndedProcess)
+{
+    const Member own{"vm", 500, {"10.0.0.1", 7000}, "a", "orders", "i-1", 30, true, 3s, 4};
+    auto other = own;
+    EXPECT_FALSE(isEndedButLater(own, other)) << "the own record comes back from peers";
+    other.incarnation = 501;
+    EXPECT_TRUE(isEndedButLater(own, other));
+    other.address.port = 7001;
+    EXPECT_FALSE(isEndedButLater(own, other)) << "a VM that replaces this one";
+    other = own;
+    other.name = "lost";
+    EXPECT_TRUE(isEndedButLater(own, other)) << "neither would take precedence";
+    other.incarnation = 499;
+    EXPECT_FALSE(isEndedButLater(own, other));
+}
+
 RC_GTEST_PROP(Member, RejectsArbitraryText, (const std::string &text))
 {
     RC_ASSERT(!decodeMember(text));
--- a/test/jasminelatch/mesh/relay_aggregator.cpp
+++ b/test/jasminelatch/mesh/relay_aggregator.cpp
@@ -235,6 +235,27 @@
     EXPECT_EQ(fleet.othersAdmitted(2), 23U);
 }
 
+TEST(RelayAggregator, ALaterProcessBeginsASessionWhoseNumberIsLower)
+{
+    // Guards against a leaf that restarts after its clock was stepped back: the digest named the session of the process
+    // before, so that the leaf dropped the counts of the fleet, and every digest listed the whole fleet.
+    StartedAggregator aggregator;
+    auto report = ownReport("leaf", 7);
+    report.session = 9000;
+    EXPECT_TRUE(aggregator.apply(report, start));
+    EXPECT_EQ(aggregator.digest("leaf", {}).session, 9000U);
+    report = ownReport("leaf", 3);
+    report.incarnation = 2;
+    report.session = 4000;
+    EXPECT_TRUE(aggregator.apply(report, start));
+    EXPECT_EQ(aggregator.digest("leaf", {}).session, 4000U);
+    EXPECT_FALSE(aggregator.apply(report, start)) << "the session is known now";
+    report.incarnation = 1;
+    report.session = 9001;
+    static_cast<void>(aggregator.apply(report, start));
+    EXPECT_EQ(aggregator.digest("leaf", {}).session, 4000U) << "a late report of the process before";
+}
+
 TEST(RelayAggregator, RefundedRequestsAreSubtracted)
 {
     StartedAggregator aggregator;
--- a/test/jasminelatch/sidecar/local_instance.cpp
+++ b/test/jasminelatch/sidecar/local_instance.cpp
@@ -22,7 +22,7 @@
         report.service = "orders";
         report.slots = 20;
         report.sequence = 1;
-        instance.report(report);
+        instance.report(report, false);
     }
 
     [[nodiscard]] auto request(const mesh::Fingerprint fingerprint) const -> mesh::HopRequest
