Learn the concurrency limit of an instance from its throughput

Instances that slow down long before their slots are full were filled up and answered about half of what they could.

Setting learn_concurrency (stated, always, never), gauges instance_learned_limit and instance_slowness, log line instance_capacity.

--- a/src/jasminelatch/mesh/fwd.hpp
+++ b/src/jasminelatch/mesh/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace jasminelatch::mesh {
 
+class CapacityEstimator;
 class ColdStart;
 class ConfigurationIndex;
 class Freshness;
--- a/src/jasminelatch/mesh/instance_gate.cpp
+++ b/src/jasminelatch/mesh/instance_gate.cpp
@@ -20,12 +20,15 @@
     : settings_{settings}
     , rateLimit_{settings.rateLimit}
     , coldStart_{settings.coldStart}
+    , capacity_{settings.capacity}
 {
 }
 
 auto InstanceGate::setSlots(const std::uint32_t slots) -> void
 {
     slots_ = slots;
+    const auto used = static_cast<std::uint32_t>(std::floor(settings_.usedSlotFraction * slots_));
+    capacity_.setMaximum(slots_ == 0 ? 0 : std::max(used, 1U));
 }
 
 auto InstanceGate::setInstanceCount(const std::size_t count) -> void
@@ -68,6 +71,16 @@
     return coldStart_;
 }
 
+auto InstanceGate::capacity() noexcept -> CapacityEstimator &
+{
+    return capacity_;
+}
+
+auto InstanceGate::capacity() const noexcept -> const CapacityEstimator &
+{
+    return capacity_;
+}
+
 auto InstanceGate::setFleetProfiles(const std::map<std::string, RouteProfile> &profiles) -> void
 {
     auto runs = 0.0;
@@ -92,7 +105,7 @@
             return {Decision::Kind::Refuse, settings_.minRetryAfter};
         }
         if (maySuspectRun(item.crashes) && takeRate(now)) {
-            start(std::move(item));
+            start(std::move(item), now);
             return {Decision::Kind::Run, {}};
         }
     }
@@ -118,7 +131,12 @@
         return;
     }
     if (runTime > Duration::zero()) {
-        recordRunTime(found->second.route, runTime);
+        const auto &run = found->second;
+        recordRunTime(run, runTime);
+        // A cold instance is slow at any concurrency, and its rate is limited.
+        if (!coldStart_.isLimited(run.start.at)) {
+            capacity_.recordRun(run.route, run.start, running_.size(), runTime);
+        }
     }
     runningSuspects_ -= found->second.crashes > 0 ? 1 : 0;
     runningAlone_ -= found->second.crashes > 1 ? 1 : 0;
@@ -159,11 +177,11 @@
     return std::max(rateLimit_.wait(ahead, now), coldStart_.wait(ahead, now));
 }
 
-auto InstanceGate::start(Item item) -> void
+auto InstanceGate::start(Item item, const TimePoint now) -> void
 {
     runningSuspects_ += item.crashes > 0 ? 1 : 0;
     runningAlone_ += item.crashes > 1 ? 1 : 0;
-    running_.emplace(item.id, Run{std::move(item.route), item.crashes});
+    running_.emplace(item.id, Run{std::move(item.route), item.crashes, capacity_.start(running_.size() + 1, now)});
 }
 
 auto InstanceGate::removeQueued(const std::map<QueueKey, Item>::iterator item) -> std::map<QueueKey, Item>::iterator
@@ -173,8 +191,9 @@
     return queue_.erase(item);
 }
 
-auto InstanceGate::recordRunTime(const std::string &route, const Duration runTime) -> void
+auto InstanceGate::recordRunTime(const Run &run, const Duration runTime) -> void
 {
+    const auto &route = run.route;
     const auto weight = settings_.runTimeEwmaWeight;
     const auto [mean, isNew] = runTimes_.try_emplace(route, runTime);
     if (!isNew) {
@@ -182,7 +201,9 @@
     }
     meanRunTime_ = meanRunTime_ == Duration::zero() ? runTime : internal::ewma(meanRunTime_, runTime, weight);
     if (const auto fleet = fleetRunTimes_.find(route); fleet != fleetRunTimes_.end()) {
-        const auto ratio = static_cast<double>(runTime.count()) / static_cast<double>(fleet->second.count());
+        // Reports of the load are older than a burst of a neighbor.
+        const auto smoothed = capacity_.smoothed(run.start, runTime);
+        const auto ratio = static_cast<double>(smoothed.count()) / static_cast<double>(fleet->second.count());
         slowness_ += weight * (ratio - slowness_);
     }
 }
@@ -201,7 +222,7 @@
             dispatched.refused.push_back({item.id, retryAfter(now)});
         } else {
             dispatched.run.push_back(item.id);
-            start(item);
+            start(item, now);
         }
         next = removeQueued(next);
     }
@@ -249,8 +270,7 @@
 
 auto InstanceGate::limit() const -> std::uint32_t
 {
-    const auto used = static_cast<std::uint32_t>(std::floor(settings_.usedSlotFraction * slots_));
-    return slots_ == 0 ? 0 : std::max(used, 1U);
+    return capacity_.limit();
 }
 
 auto InstanceGate::expectedWait(const std::size_t ahead, const TimePoint now) const -> Duration
--- a/src/jasminelatch/mesh/instance_gate.hpp
+++ b/src/jasminelatch/mesh/instance_gate.hpp
@@ -2,6 +2,7 @@
 #define JASMINELATCH_MESH_INSTANCE_GATE_HPP
 
 #include "call_learner.hpp"
+#include "capacity_estimator.hpp"
 #include "cold_start.hpp"
 #include "hop.hpp"
 #include "instance_rate_limit.hpp"
@@ -40,6 +41,7 @@
         Duration minRetryAfter{std::chrono::milliseconds{100}}; /*!< Lower bound of the retry delay after a refusal. */
         InstanceRateLimit::Settings rateLimit; /*!< Limit on requests per second. */
         ColdStart::Settings coldStart; /*!< The same while the instance is cold. */
+        CapacityEstimator::Settings capacity; /*!< Limit that is learned from runs. */
         double suspectSlotFraction{0.125}; /*!< Fraction of the slots for requests that may have caused a crash. */
         std::size_t minInstancesForSuspects{8}; /*!< Instances of the service below which only one such request runs
                                                      here, so that another crash identifies it. */
@@ -123,6 +125,12 @@
     /*! @brief Returns the limit that applies while the instance is cold. */
     [[nodiscard]] auto coldStart() const noexcept -> const ColdStart &;
 
+    /*! @brief Returns the estimator of the concurrency beyond which throughput no longer rises. */
+    [[nodiscard]] auto capacity() noexcept -> CapacityEstimator &;
+
+    /*! @brief Returns the estimator of the concurrency beyond which throughput no longer rises. */
+    [[nodiscard]] auto capacity() const noexcept -> const CapacityEstimator &;
+
     /**
      * @brief Sets the run times that the service's instances need on average, against which this one is compared.
      * @param profiles Profiles of all nodes together, by route.
@@ -184,6 +192,7 @@
     struct Run {
         std::string route;
         std::uint32_t crashes{};
+        CapacityEstimator::Start start;
     };
 
     /*! @brief Order of the queue: rank, then arrival. */
@@ -197,13 +206,14 @@
     [[nodiscard]] auto maySuspectRun(std::uint32_t crashes) const -> bool;
     [[nodiscard]] auto takeRate(TimePoint now) -> bool;
     [[nodiscard]] auto rateWait(std::size_t ahead, TimePoint now) const -> Duration;
-    auto start(Item item) -> void;
+    auto start(Item item, TimePoint now) -> void;
     auto removeQueued(std::map<QueueKey, Item>::iterator item) -> std::map<QueueKey, Item>::iterator;
-    auto recordRunTime(const std::string &route, Duration runTime) -> void;
+    auto recordRunTime(const Run &run, Duration runTime) -> void;
 
     Settings settings_;
     InstanceRateLimit rateLimit_;
     ColdStart coldStart_;
+    CapacityEstimator capacity_;
     std::uint32_t slots_{};
     std::size_t instanceCount_{};
     std::uint64_t arrivals_{};
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -77,6 +77,7 @@
     const auto &latest = record_.report();
     if (!before.id.empty() && !mesh::isSameStart(before, latest)) {
         gate_.resetRateLimit();
+        gate_.capacity().reset();
     }
     const auto hasRestarted = before.id != latest.id || before.startTimeMs != latest.startTimeMs;
     if (hasRestarted) {
@@ -333,6 +334,11 @@
     return gate_.rateLimit();
 }
 
+auto LocalInstance::capacity() const -> const mesh::CapacityEstimator &
+{
+    return gate_.capacity();
+}
+
 auto LocalInstance::activeRequests() const -> std::size_t
 {
     return pending_.size();
@@ -418,6 +424,7 @@
     const auto hasSucceeded =
         reply.outcome == mesh::HopOutcome::Answered && reply.answer.status < internal::firstServerError;
     gate_.finish(requestId, hasSucceeded ? runTime : Duration::zero());
+    logCapacity();
     complete(requestId, std::move(reply));
     if (isLeaving) {
         markLeaving();
@@ -600,6 +607,7 @@
         return false;
     }
     const auto now = context_.loop.now();
+    gate_.capacity().recordSlowness(condition->slowness, now);
     const auto hasChanged = gate_.recordAnswer(condition->rateLimit, now);
     const auto isDue = gate_.rateLimit() && now - rateLimitLoggedAt_ >= internal::rateLimitLogInterval;
     if (hasChanged || isDue) {
@@ -624,6 +632,25 @@
     rateLimitLoggedAt_ = now;
 }
 
+auto LocalInstance::logCapacity() -> void
+{
+    const auto limit = gate_.capacity().learnedLimit();
+    const auto before = loggedLimit_;
+    const auto change = std::max(limit, before) - std::min(limit, before);
+    if (change * 10 <= before) {
+        return;
+    }
+    loggedLimit_ = limit;
+    if (before != 0) {
+        context_.log.write("instance_capacity",
+                           {{"instance", record_.report().id},
+                            {"limit", limit},
+                            {"before", before},
+                            {"slots", record_.report().slots},
+                            {"slowness", gate_.capacity().slowness()}});
+    }
+}
+
 auto LocalInstance::recordRunEnd(const PendingRequest &pending) -> void
 {
     const auto &hop = pending.request;
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -169,6 +169,9 @@
     /*! @brief Returns the requests per second that the instance accepts at most, or nothing if it is unlimited. */
     [[nodiscard]] auto rateLimit() const -> std::optional<double>;
 
+    /*! @brief Returns what has been learned of the concurrency that the instance copes with. */
+    [[nodiscard]] auto capacity() const -> const mesh::CapacityEstimator &;
+
     /*! @brief Returns the number of requests that are running or queued. */
     [[nodiscard]] auto activeRequests() const -> std::size_t;
 
@@ -194,6 +197,8 @@
     /*! @brief Applies the condition that an answer states; returns whether the instance is leaving. */
     auto updateCondition(const mesh::Answer &answer) -> bool;
     auto logRateLimit() -> void;
+    /*! @brief Logs the learned limit once it has changed by more than a tenth. */
+    auto logCapacity() -> void;
     auto recordRunEnd(const PendingRequest &pending) -> void;
     auto refuseUnreachable(std::uint64_t requestId) -> void;
     auto updateBreaker(const HttpConnection::Result &result) -> void;
@@ -227,6 +232,7 @@
     event::TimerId sweepTimer_{};
     std::uint64_t startedSinceLog_{}; /*!< Requests sent since the last log line on the rate limit. */
     TimePoint rateLimitLoggedAt_;
+    std::uint32_t loggedLimit_{}; /*!< Learned limit in the last log line; zero before the first run. */
     bool stopped_{};
     bool isEvacuated_{}; /*!< Whether the instance gets no requests, since its failure domain is evacuated. */
     std::optional<TimePoint> healthQueriedAt_; /*!< When the health query under way was sent. */
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -82,6 +82,7 @@
     // A part of the slack is left for requests that the instance counts in a later second than this node.
     gate.coldStart.rateFactor = settings.coldOverFactor;
     gate.coldStart.burst = settings.coldSlackRequests * coldSlackFraction;
+    gate.capacity.learn = settings.learnConcurrency;
     return gate;
 }
 
@@ -568,6 +569,8 @@
             {"instance_running", load.running},
             {"instance_queued", load.queued},
             {"instance_limit", load.limit},
+            {"instance_learned_limit", instance_.capacity().learnedLimit()},
+            {"instance_slowness", instance_.capacity().slowness()},
             {"instance_cold_seconds", std::chrono::duration<double>(instance_.coldStartRemaining()).count()},
             {"instance_rate_limit", instance_.rateLimit().value_or(-1.0)},
             {"crash_suspects", static_cast<double>(crashes_.suspectCount())},
--- a/src/jasminelatch/sidecar/settings.cpp
+++ b/src/jasminelatch/sidecar/settings.cpp
@@ -34,6 +34,21 @@
     return *parsed;
 }
 
+auto learnConcurrency(record::Reader &reader, const std::string_view field) -> mesh::LearnConcurrency
+{
+    const auto text = reader.text(field, "stated");
+    if (text == "stated") {
+        return mesh::LearnConcurrency::Stated;
+    }
+    if (text == "always") {
+        return mesh::LearnConcurrency::Always;
+    }
+    if (text != "never") {
+        reader.report(field, "expected stated, always or never, got \"" + text + "\"");
+    }
+    return mesh::LearnConcurrency::Never;
+}
+
 } // namespace internal
 
 auto parseSettings(const std::string_view text, const std::string &file, Findings &findings) -> std::optional<Settings>
@@ -50,6 +65,7 @@
     settings.service = reader.requiredText("service");
     settings.instance = internal::endpoint(reader, "instance");
     settings.store = internal::endpoint(reader, "store");
+    settings.learnConcurrency = internal::learnConcurrency(reader, "learn_concurrency");
     auto listen = reader.section("listen");
     settings.callers = internal::endpoint(listen, "callers");
     settings.ready = internal::endpoint(listen, "ready");
--- a/src/jasminelatch/sidecar/settings.hpp
+++ b/src/jasminelatch/sidecar/settings.hpp
@@ -4,6 +4,7 @@
 #include <jasminelatch/core/clock.hpp>
 #include <jasminelatch/core/finding.hpp>
 #include <jasminelatch/event/endpoint.hpp>
+#include <jasminelatch/mesh/capacity_estimator.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -37,6 +38,8 @@
     std::size_t memoryBytes{}; /*!< Memory limit of the node in bytes. */
     double coldOverFactor{1.0}; /*!< Requests per second that a cold instance may get, relative to its rate. */
     double coldSlackRequests{}; /*!< Requests in one second that it may get in addition. */
+    mesh::LearnConcurrency learnConcurrency{
+        mesh::LearnConcurrency::Stated}; /*!< When the concurrency limit of the instance is learned. */
 };
 
 /**
--- a/test/jasminelatch/sidecar/local_instance.cpp
+++ b/test/jasminelatch/sidecar/local_instance.cpp
@@ -88,4 +88,24 @@
     EXPECT_EQ(instance.activeRequests(), 1U);
 }
 
+// What was learned of one start of an instance must not limit the next one.
+TEST_F(LocalInstanceTest, TheStatedSlownessIsKnownUntilTheInstanceStartsAnew)
+{
+    std::optional<mesh::HopReply> answered;
+    instance.submit(request(7), [&](mesh::HopReply reply) { answered = std::move(reply); });
+    ASSERT_TRUE(loopback.runUntil([&] { return !server.received.empty(); }));
+    server.streams.back()->write(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nInstance-Load: 1,0,20,250\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(loopback.runUntil([&] { return answered.has_value(); }));
+    EXPECT_EQ(instance.capacity().slowness(), 2.5);
+    EXPECT_EQ(instance.capacity().learnedLimit(), 18U);
+    auto report = instance.latest();
+    report.startTimeMs = 1'000'000;
+    ++report.sequence;
+    ASSERT_TRUE(instance.report(report));
+    report.startTimeMs = 2'000'000;
+    ASSERT_TRUE(instance.report(report));
+    EXPECT_EQ(instance.capacity().slowness(), 1.0);
+}
+
 } // namespace jasminelatch::sidecar
--- a/test/jasminelatch/sidecar/settings.cpp
+++ b/test/jasminelatch/sidecar/settings.cpp
@@ -41,6 +41,22 @@
     EXPECT_GE(findings.size(), 3U) << toText(findings);
 }
 
+TEST(SidecarSettings, ReadsWhenTheConcurrencyLimitIsLearned)
+{
+    const auto read = [](const std::string &field) {
+        auto text = goodText;
+        text.insert(text.find("\"name\""), field);
+        Findings findings;
+        const auto settings = parseSettings(text, "file", findings);
+        return settings ? std::optional{settings->learnConcurrency} : std::nullopt;
+    };
+    EXPECT_EQ(read(""), mesh::LearnConcurrency::Stated);
+    EXPECT_EQ(read(R"("learn_concurrency": "stated", )"), mesh::LearnConcurrency::Stated);
+    EXPECT_EQ(read(R"("learn_concurrency": "always", )"), mesh::LearnConcurrency::Always);
+    EXPECT_EQ(read(R"("learn_concurrency": "never", )"), mesh::LearnConcurrency::Never);
+    EXPECT_FALSE(read(R"("learn_concurrency": "often", )"));
+}
+
 TEST(DurationText, ParsesMillisecondsAndSeconds)
 {
     EXPECT_EQ(parseDuration("1500ms"), Duration{1'500'000});
