A report's answer may drop the relay that it came from

Records in an answer can supersede that of the relay itself, whose entry was then looked up without a check.

--- a/src/jasminelatch/sidecar/fleet.cpp
+++ b/src/jasminelatch/sidecar/fleet.cpp
@@ -547,11 +547,13 @@
     for (const auto &member : report.members) {
         updateMember(member);
     }
-    if (isRelay_ || relay != relay_) {
+    // A record may have superseded that of the relay.
+    const auto peer = peers_.find(relay);
+    if (isRelay_ || relay != relay_ || peer == peers_.end()) {
         return;
     }
     const auto now = context_.loop.now();
-    peers_.at(relay).isReporting = true;
+    peer->second.isReporting = true;
     if (report.session == lastSession_) {
         context_.placement.applyReport(report);
         context_.caps.applyReport(report, now);
