--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -70,6 +70,8 @@
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, internal::logMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Sockets of the test would stay open in the child after the test has closed them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const auto failed = posix_spawn(&pid_, command.front().c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0) {
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -45,6 +45,9 @@
 
     [[nodiscard]] auto running() const -> bool { return pid_ > 0; }
 
+    /*! @brief Returns the process id; zero once the process is reaped. */
+    [[nodiscard]] auto pid() const -> pid_t { return pid_; }
+
 private:
     pid_t pid_{};
 };
