Bound responses without a length as before, and count a response that found no room against its instance

Responses that announce no length share a third of the budget, about what the budget was before. The reply to a request whose response still waited for room at the deadline is a bad answer of that instance, so that entry nodes eject it.

--- a/src/jasminelatch/sidecar/http_connection.cpp
+++ b/src/jasminelatch/sidecar/http_connection.cpp
@@ -58,6 +58,7 @@
     , settings_{std::move(settings)}
     , hooks_{std::move(hooks)}
     , buffered_{settings_.budget}
+    , unannounced_{settings_.unannouncedBudget}
     , stream_{loop,
               to,
               settings_.userTimeout,
@@ -106,6 +107,12 @@
     hooks_ = {};
     stream_.close();
     buffered_.release();
+    unannounced_.release();
+}
+
+auto HttpConnection::isAwaitingRoom() const -> bool
+{
+    return roomTimer_ != 0;
 }
 
 auto HttpConnection::isReusable() const -> bool
@@ -177,7 +184,9 @@
     const auto isBodyDue = parser_->is_header_done() && !parser_->is_done() && parser_->content_length();
     const std::size_t announced = isBodyDue ? *parser_->content_length() : 0;
     const auto wanted = std::max(input_.size() + parser_->get().body().size(), announced);
-    if (buffered_.tryGrow(wanted)) {
+    // A response without a length may be endless, and it is held twice for a moment while it grows.
+    const auto isBounded = announced > 0 || unannounced_.tryGrow(wanted);
+    if (isBounded && buffered_.tryGrow(wanted)) {
         return true;
     }
     // Endless responses without a length would otherwise hold the memory that they wait for until their deadlines.
@@ -288,6 +297,7 @@
 {
     isBusy_ = false;
     buffered_.release();
+    unannounced_.release();
     // The callback may destroy this connection.
     const auto finished = hooks_.finished;
     finished(std::move(result));
--- a/src/jasminelatch/sidecar/http_connection.hpp
+++ b/src/jasminelatch/sidecar/http_connection.hpp
@@ -50,6 +50,8 @@
         /*! @brief Bounds the bytes that this and other connections hold; passes on to the bodies of responses, which it
          * outlives; may be null. While it is full, the connection stops reading. */
         mesh::ByteBudget *budget{};
+        /*! @brief Bounds, in addition, responses that announce no length while they are received; may be null. */
+        mesh::ByteBudget *unannouncedBudget{};
     };
 
     /**
@@ -71,6 +73,9 @@
      */
     auto send(const mesh::Request &request) -> void;
 
+    /*! @brief Tells whether reading is paused until the budget has room for the response. */
+    [[nodiscard]] auto isAwaitingRoom() const -> bool;
+
     /*! @brief Closes the connection; no callback is called afterwards. */
     auto abandon() -> void;
 
@@ -105,6 +110,7 @@
     std::optional<Parser> parser_;
     std::string input_;
     mesh::ByteReservation buffered_; /*!< Bytes of the response that is being received. */
+    mesh::ByteReservation unannounced_; /*!< Bytes of a response without an announced length. */
     event::TimerId roomTimer_{}; /*!< Runs while reading is paused, as the budget is full. */
     std::size_t skippedMessages_{}; /*!< Messages since `send` that were not the response to the request. */
     bool wasUsed_{}; /*!< Whether the connection has delivered a response before. */
--- a/src/jasminelatch/sidecar/instance_pool.cpp
+++ b/src/jasminelatch/sidecar/instance_pool.cpp
@@ -1,14 +1,24 @@
 #include "instance_pool.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace jasminelatch::sidecar {
 
+namespace internal {
+
+/*! @brief Divisor of the byte budget for responses that announce no length. */
+constexpr std::size_t unannouncedDivisor = 3;
+
+} // namespace internal
+
 InstancePool::InstancePool(event::Loop &loop, event::Endpoint to, Settings settings)
     : loop_{&loop}
     , to_{std::move(to)}
     , settings_{std::move(settings)}
+    , unannounced_{settings_.budget == nullptr ? std::numeric_limits<std::size_t>::max()
+                                               : settings_.budget->largest() / internal::unannouncedDivisor}
 {
 }
 
@@ -33,6 +43,12 @@
     }
 }
 
+auto InstancePool::isAwaitingRoom(const std::uint64_t id) const -> bool
+{
+    const auto found = requests_.find(id);
+    return found != requests_.end() && connections_.at(found->second).connection->isAwaitingRoom();
+}
+
 auto InstancePool::reset() -> void
 {
     while (!idle_.empty()) {
@@ -46,6 +62,7 @@
     HttpConnection::Settings settings;
     settings.echoField = settings_.echoField;
     settings.budget = settings_.budget;
+    settings.unannouncedBudget = &unannounced_;
     connections_[id].connection = std::make_unique<HttpConnection>(
         *loop_,
         to_,
--- a/src/jasminelatch/sidecar/instance_pool.hpp
+++ b/src/jasminelatch/sidecar/instance_pool.hpp
@@ -62,6 +62,12 @@
      */
     auto cancel(std::uint64_t id) -> void;
 
+    /**
+     * @brief Tells whether the response to a request waits for memory.
+     * @param id Id that `send` returned.
+     */
+    [[nodiscard]] auto isAwaitingRoom(std::uint64_t id) const -> bool;
+
     /*! @brief Closes the idle connections; called when another instance has replaced the former one. */
     auto reset() -> void;
 
@@ -81,6 +87,7 @@
     event::Loop *loop_;
     event::Endpoint to_;
     Settings settings_;
+    mesh::ByteBudget unannounced_; /*!< Bounds the responses without an announced length. */
     std::map<std::uint64_t, PooledConnection> connections_;
     std::vector<std::uint64_t> idle_; /*!< Most recently used last. */
     std::map<std::uint64_t, std::uint64_t> requests_; /*!< Connection id by request id. */
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -693,6 +693,7 @@
     }
     found->second.deadlineTimer = 0;
     const auto poolRequestId = std::exchange(found->second.poolRequestId, 0);
+    const auto hasNoRoom = poolRequestId != 0 && pool_.isAwaitingRoom(poolRequestId);
     if (poolRequestId != 0) {
         pool_.cancel(poolRequestId);
         recordRunEnd(found->second);
@@ -707,6 +708,10 @@
         reply.outcome = mesh::HopOutcome::Unknown;
         reply.reached = true;
     }
+    if (hasNoRoom) {
+        // Other nodes then prefer instances whose responses fit.
+        reply.reason = mesh::HopReason::BadAnswer;
+    }
     complete(requestId, std::move(reply));
     advance();
 }
