--- a/src/programs/jasminelatch-sidecar/main.cpp
+++ b/src/programs/jasminelatch-sidecar/main.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <string>
 
 namespace {
@@ -88,10 +89,20 @@
     bool checkOnly = false;
     app.add_option("settings", file, "Settings file, JSON with comments")->envname("JASMINELATCH_CONFIG")->required();
     app.add_flag("--check", checkOnly, "Check the settings and exit");
+    std::optional<double> coldOver;
+    std::optional<double> coldSlack;
+    app.add_option("--cold-over", coldOver, "Overrides the setting terms.cold_over")
+        ->envname("JASMINELATCH_COLD_OVER")
+        ->check(CLI::Range(1.0, 10.0));
+    app.add_option("--cold-slack", coldSlack, "Overrides the setting terms.cold_slack")
+        ->envname("JASMINELATCH_COLD_SLACK")
+        ->check(CLI::Range(0.0, 1e6));
     CLI11_PARSE(app, argc, argv);
-    const auto settings = readSettings(file);
+    auto settings = readSettings(file);
     if (!settings) {
         return static_cast<int>(program::ExitCode::BadSettings);
     }
+    settings->coldOverFactor = coldOver.value_or(settings->coldOverFactor);
+    settings->coldSlackRequests = coldSlack.value_or(settings->coldSlackRequests);
     return static_cast<int>(checkOnly ? program::ExitCode::Ok : runNode(*settings, file));
 }
