--- a/test/jasminelatch/sidecar/route_explanation.cpp
+++ b/test/jasminelatch/sidecar/route_explanation.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <string>
 
 namespace jasminelatch::sidecar {
@@ -20,7 +22,18 @@
                 loopback.runUntil([&] { return getFrom(loopback, node->settings.ready, "/v1/ready").status == 200; }));
             sendInstanceReport(loopback, *node, "ready", 1);
         }
-        EXPECT_TRUE(loopback.runUntil([&] { return explain().value("outcome", "") == "sent"; }));
+        EXPECT_TRUE(loopback.runUntil([&] { return healthyCandidates() == 2; }));
+    }
+
+    /*! @brief Returns how many instances have reported to the entry node. */
+    auto healthyCandidates() -> std::ptrdiff_t
+    {
+        const auto explanation = explain();
+        if (!explanation.contains("services")) {
+            return 0;
+        }
+        return std::ranges::count_if(explanation.at("services").at(0).at("candidates"),
+                                     [](const auto &candidate) { return candidate.at("state") == "healthy"; });
     }
 
     auto explain(const std::string &host = "a.example",
