Log reports of the instance that have no effect, and how a departure was acknowledged

Change: instance_report_ignored with its cause and the known instance, departure_acknowledged with its outcome, and the start in instance_state. An acknowledgement without a record says not_recorded.

--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -94,6 +94,7 @@
                            {{"instance", latest.id},
                             {"state", static_cast<int>(latest.state)},
                             {"sequence", latest.sequence},
+                            {"start_ms", latest.startTimeMs},
                             {"slots", latest.slots}});
     }
     gate_.setSlots(latest.slots);
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -324,6 +324,7 @@
     reportedStart_.record(*report, loop_->now());
     if (mustHold(*report)) {
         heldReport_ = *report;
+        logIgnoredReport(*report, "held");
     } else {
         applyUnlessLate(*report);
     }
@@ -348,18 +349,27 @@
     answer.fields.push_back({"Content-Type", "application/json"});
     answer.body = "{}";
     const auto &latest = instance_.latest();
-    if (report.state == mesh::InstanceState::Ready || report.id != latest.id
-        || latest.state == mesh::InstanceState::Ready) {
+    if (report.state == mesh::InstanceState::Ready) {
+        respond(std::move(answer));
+        return;
+    }
+    const auto logAcknowledgement = [this, id = report.id, start = report.startTimeMs](const char *outcome) {
+        log_.write("departure_acknowledged", {{"instance", id}, {"start_ms", start}, {"outcome", outcome}});
+    };
+    if (report.id != latest.id || latest.state == mesh::InstanceState::Ready) {
+        logAcknowledgement("not_recorded");
         respond(std::move(answer));
         return;
     }
     recordDeparture();
     // The acknowledgement promises that no request reaches the instance, whatever happens to this process.
-    writer_.whenStored(storeKey(departurePrefix, settings_.name),
-                       internal::acknowledgementWait,
-                       [respond = std::move(respond), answer = std::move(answer)](const bool isStored) {
-                           respond(isStored ? answer : makeAnswer(internal::statusUnavailable, mesh::minRetryAfter));
-                       });
+    writer_.whenStored(
+        storeKey(departurePrefix, settings_.name),
+        internal::acknowledgementWait,
+        [respond = std::move(respond), answer = std::move(answer), logAcknowledgement](const bool isStored) {
+            logAcknowledgement(isStored ? "stored" : "not_stored");
+            respond(isStored ? answer : makeAnswer(internal::statusUnavailable, mesh::minRetryAfter));
+        });
 }
 
 auto Node::handleStoreRestored() -> void
@@ -384,6 +394,7 @@
 {
     const auto before = ownMember();
     if (!instance_.report(report, reportedStart_.isRunning(report))) {
+        logIgnoredReport(report, "outdated");
         return;
     }
     auto after = ownMember();
@@ -458,9 +469,25 @@
     // reporting.
     const auto mayBeLate = report.state == mesh::InstanceState::Ready && departure_
                         && mesh::isOfEarlierStart(*departure_, report) && !reportedStart_.isRunning(report);
-    if (!mayBeLate) {
-        applyInstanceReport(withKnownDeparture(report));
+    if (mayBeLate) {
+        logIgnoredReport(report, "precedes_departure");
+        return;
     }
+    applyInstanceReport(withKnownDeparture(report));
+}
+
+auto Node::logIgnoredReport(const mesh::InstanceReport &report, const std::string_view cause) -> void
+{
+    const auto &latest = instance_.latest();
+    log_.write("instance_report_ignored",
+               {{"instance", report.id},
+                {"state", static_cast<int>(report.state)},
+                {"sequence", report.sequence},
+                {"start_ms", report.startTimeMs},
+                {"cause", cause},
+                {"known_instance", latest.id},
+                {"known_state", static_cast<int>(latest.state)},
+                {"known_start_ms", latest.startTimeMs}});
 }
 
 auto Node::withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -33,6 +33,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace jasminelatch::sidecar {
 
@@ -87,6 +88,7 @@
     auto probeInstance() -> void;
     auto applyUnlessDeparted(const mesh::InstanceReport &report) -> void;
     auto applyUnlessLate(const mesh::InstanceReport &report) -> void;
+    auto logIgnoredReport(const mesh::InstanceReport &report, std::string_view cause) -> void;
     [[nodiscard]] auto hasDeparted(const mesh::InstanceReport &report) const -> bool;
     [[nodiscard]] auto withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport;
     auto applyInstanceReport(const mesh::InstanceReport &report) -> void;
