Keep the departure of each start of an instance, also of one that the node does not know

Its node answered the deregistration 200. The report "ready" that followed put the instance into use on all nodes: 15 orders that were sent later than `drain` after the acknowledgement ran there, and one was lost when it exited.

Cause: a node knew one instance, the latest start that had reported, and a departure was a state of that record, in the process and in the store. A departure of another start had no place to go: it was ignored and acknowledged all the same.

Evidence: the log of has instance_report_ignored (known: i-1, gone) and departure_acknowledged not_recorded for i-2, and then instance_state of i-2, ready.

Ruled out: that the departure was stored and overtaken by a report of the former instance, or that the starts had fallen back.

Why this works: each start departs on its own (mesh::InstanceDepartures), whatever the record holds; the item of the VM keeps the departures of ten minutes in the place of the latest one, and a write that meets an item of an earlier process adds to it. The acknowledgement waits for that item for any start, and is a 503 otherwise. A report "ready" of a start that departed has no effect. A departure changes the record only if that holds the same start.

Store calls: one write for a departure of a start that the node did not know, which cost none and was lost; none for a repeated one.

--- a/src/jasminelatch/mesh/fwd.hpp
+++ b/src/jasminelatch/mesh/fwd.hpp
@@ -8,6 +8,7 @@
 class ConfigurationIndex;
 class Freshness;
 class InstanceBreaker;
+class InstanceDepartures;
 class InstanceGate;
 class InstanceRateLimit;
 class InstanceRecord;
--- a/src/jasminelatch/mesh/instance_departure.hpp
+++ b/src/jasminelatch/mesh/instance_departure.hpp
@@ -5,12 +5,14 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jasminelatch::mesh {
 
-/*! @brief Acknowledged departure of the instance beside a node, as kept in the store. */
+/*! @brief Departure of one start of an instance, as kept in the store. */
 struct InstanceDeparture {
     std::string instanceId; /*!< Id of the instance that left. */
     std::uint64_t startTimeMs{}; /*!< Its process start in Unix milliseconds; zero if unknown. */
@@ -20,40 +22,72 @@
 };
 
 /**
- * @brief Tells whether a report comes from an instance that has departed, or from an earlier one on the same VM.
+ * @brief Departures of the instances that have run on one VM.
  *
- * Load pattern: an instance leaves, the process of its node ends, and reports of the instance reach the next process
- * late.
- * @param departure Latest departure on the VM.
- * @param report Report of an instance there.
- * @return Whether the instance must not be used; a report without a start counts as one of the start that departed.
- */
-[[nodiscard]] auto covers(const InstanceDeparture &departure, const InstanceReport &report) -> bool;
-
-/**
- * @brief Tells whether a report comes from a start that precedes the one that departed, by the wall clock of the VM.
+ * Each start departs on its own, whether or not the node has heard of it before and whatever other starts it knows.
  *
- * Load pattern: two instances leave in a row and reports of the first are late; or the clock was stepped back before
- * the next instance started, which then keeps reporting.
- * @param departure Latest departure on the VM.
- * @param report Report of an instance there.
- * @return Whether the start times differ in this order.
+ * Load pattern: an instance leaves before its first reports arrive; several leave in a row, the process of their node
+ * ends, and reports of any of them reach the next process late.
  */
-[[nodiscard]] auto isOfEarlierStart(const InstanceDeparture &departure, const InstanceReport &report) -> bool;
+class InstanceDepartures
+{
+public:
+    /*! @brief Bounds of what is remembered. */
+    struct Settings {
+        std::size_t maxCount{16}; /*!< Number of departures. */
+        std::uint64_t memoryMs{600'000}; /*!< Milliseconds for which one is kept beside later ones. */
+    };
+
+    /**
+     * @brief Creates a VM that no instance has left.
+     * @param settings Bounds.
+     */
+    explicit InstanceDepartures(Settings settings);
+
+    /**
+     * @brief Adds a departure unless it is known; one whose start is known now replaces one of the same id without it.
+     * @param departure The departure.
+     */
+    auto add(InstanceDeparture departure) -> void;
+
+    /**
+     * @brief Tells whether a report comes from a start that has departed.
+     * @param report Report of an instance on the VM.
+     * @return Whether that start must not be used; a report without a start counts as one of any start of its id.
+     */
+    [[nodiscard]] auto contains(const InstanceReport &report) const -> bool;
+
+    /**
+     * @brief Tells whether a report may come from a start that has ended: its start precedes one that departed, by the
+     * wall clock of the VM, or one of its id departed without naming its start.
+     *
+     * Load pattern: two instances leave in a row and reports of the first are late; or the clock was stepped back
+     * before the next instance started, which then keeps reporting.
+     * @param report Report of an instance on the VM.
+     */
+    [[nodiscard]] auto mayPrecede(const InstanceReport &report) const -> bool;
+
+    /*! @brief Returns all departures in the order of their records. */
+    [[nodiscard]] auto entries() const noexcept -> std::span<const InstanceDeparture>;
+
+private:
+    Settings settings_;
+    std::vector<InstanceDeparture> entries_;
+};
 
 /**
- * @brief Serializes a departure.
- * @param departure The departure.
+ * @brief Serializes the departures of one VM; earlier builds read the latest one.
+ * @param departures Departures in the order of their records; at least one.
  * @return JSON text.
  */
-[[nodiscard]] auto encodeDeparture(const InstanceDeparture &departure) -> std::string;
+[[nodiscard]] auto encodeDepartures(std::span<const InstanceDeparture> departures) -> std::string;
 
 /**
- * @brief Parses a departure; unknown fields are ignored.
- * @param text JSON text.
- * @return The departure, or nothing if the text is malformed or names no instance.
+ * @brief Parses the departures of one VM; unknown fields are ignored.
+ * @param text JSON text, also of an earlier build, which wrote only the latest departure.
+ * @return The departures in the order of their records, or nothing if the text is malformed.
  */
-[[nodiscard]] auto decodeDeparture(std::string_view text) -> std::optional<InstanceDeparture>;
+[[nodiscard]] auto decodeDepartures(std::string_view text) -> std::optional<std::vector<InstanceDeparture>>;
 
 } // namespace jasminelatch::mesh
 
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -132,7 +132,7 @@
                 settings_.service,
                 {[this] {
                      publishOwnMember();
-                     recordDeparture();
+                     departures_.record(instance_.latest());
                  },
                  [this] {
                      quarantines_.update(loop_->now());
@@ -143,14 +143,19 @@
                 internal::registrySettings(settings_),
                 {[this](mesh::Configuration configuration) { applyConfiguration(std::move(configuration)); },
                  [this](const mesh::Member &member) { fleet_.updateMember(member); },
-                 [this](const std::optional<mesh::InstanceDeparture> &departure) { handleDepartureKnown(departure); },
+                 [this](const std::span<const mesh::InstanceDeparture> departures) {
+                     handleDeparturesKnown(departures);
+                 },
                  [this](const std::set<std::string> &names) { fleet_.dropUnlistedPeers(names); },
                  [this](const mesh::StoredCrash &stored) { quarantines_.merge(stored, loop_->now()); },
                  [this] { handleStoreRestored(); },
                  [this] {
                      applyEvacuation();
                  }}}
-    , writer_{{loop, dialect_, log_, counters_}, settings_.store, {}}
+    , writer_{{loop, dialect_, log_, counters_}, settings_.store, {}, {[this](const StoreItem &item) {
+                  departures_.mergeConflict(item);
+              }}}
+    , departures_{{log_, writer_}, settings_.name}
     , quarantines_{{log_, crashes_, writer_}}
     , fleet_{{loop, log_, placement_, caps_, retryBudget_, admission_, registry_, crashes_, budget_},
              ownMember(),
@@ -241,7 +246,7 @@
     registry_.start();
     // While the store is away, the instance's own word decides whether it is used.
     loop_->after(internal::departureWait, [this] {
-        if (!registry_.knowsDeparture()) {
+        if (!registry_.knowsDepartures()) {
             probeInstance();
         }
     });
@@ -322,11 +327,10 @@
         return;
     }
     reportedStart_.record(*report, loop_->now());
-    if (mustHold(*report)) {
-        heldReport_ = *report;
-        logIgnoredReport(*report, "held");
+    if (report->state == mesh::InstanceState::Ready) {
+        handleReadyReport(*report);
     } else {
-        applyUnlessLate(*report);
+        handleDepartureReport(*report);
     }
     if (instance_.latest().id.empty()) {
         probeInstance();
@@ -334,9 +338,35 @@
     acknowledge(*report, std::move(respond));
 }
 
+auto Node::handleReadyReport(const mesh::InstanceReport &report) -> void
+{
+    if (mustHold(report)) {
+        heldReport_ = report;
+        logIgnoredReport(report, "held");
+        return;
+    }
+    applyUnlessLate(report);
+}
+
+auto Node::handleDepartureReport(mesh::InstanceReport report) -> void
+{
+    const auto latest = instance_.latest();
+    if (mesh::isSameStart(report, latest)) {
+        report.startTimeMs = std::max(report.startTimeMs, latest.startTimeMs);
+    }
+    // It may precede all other reports of its start, or follow those of the next one: it counts for its start alone.
+    const auto isRepeated = departures_.known().contains(report);
+    departures_.record(report);
+    if (isRepeated && !latest.id.empty() && !mesh::isSameStart(report, latest)) {
+        logIgnoredReport(report, "other_start");
+        return;
+    }
+    applyInstanceReport(report);
+}
+
 auto Node::mustHold(const mesh::InstanceReport &report) const -> bool
 {
-    if (report.state != mesh::InstanceState::Ready || registry_.knowsDeparture() || !instance_.latest().id.empty()) {
+    if (report.state != mesh::InstanceState::Ready || registry_.knowsDepartures() || !instance_.latest().id.empty()) {
         return false;
     }
     // A late report must not bring back an instance whose departure an earlier process has acknowledged.
@@ -348,26 +378,16 @@
     auto answer = makeAnswer(internal::statusOk, {});
     answer.fields.push_back({"Content-Type", "application/json"});
     answer.body = "{}";
-    const auto &latest = instance_.latest();
     if (report.state == mesh::InstanceState::Ready) {
         respond(std::move(answer));
         return;
     }
-    const auto logAcknowledgement = [this, id = report.id, start = report.startTimeMs](const char *outcome) {
-        log_.write("departure_acknowledged", {{"instance", id}, {"start_ms", start}, {"outcome", outcome}});
-    };
-    if (report.id != latest.id || latest.state == mesh::InstanceState::Ready) {
-        logAcknowledgement("not_recorded");
-        respond(std::move(answer));
-        return;
-    }
-    recordDeparture();
     // The acknowledgement promises that no request reaches the instance, whatever happens to this process.
-    writer_.whenStored(
-        storeKey(departurePrefix, settings_.name),
+    departures_.whenStored(
         internal::acknowledgementWait,
-        [respond = std::move(respond), answer = std::move(answer), logAcknowledgement](const bool isStored) {
-            logAcknowledgement(isStored ? "stored" : "not_stored");
+        [this, respond = std::move(respond), answer = std::move(answer), id = report.id, start = report.startTimeMs](
+            const bool isStored) {
+            log_.write("departure_acknowledged", {{"instance", id}, {"start_ms", start}, {"stored", isStored}});
             respond(isStored ? answer : makeAnswer(internal::statusUnavailable, mesh::minRetryAfter));
         });
 }
@@ -380,16 +400,6 @@
     writer_.rewriteAll();
 }
 
-auto Node::recordDeparture() -> void
-{
-    const auto &latest = instance_.latest();
-    if (recorded_.instanceId == latest.id && recorded_.startTimeMs == latest.startTimeMs) {
-        return;
-    }
-    recorded_ = {latest.id, latest.startTimeMs, wallClockMilliseconds()};
-    writer_.put(storeKey(departurePrefix, settings_.name), mesh::encodeDeparture(recorded_));
-}
-
 auto Node::applyInstanceReport(const mesh::InstanceReport &report) -> void
 {
     const auto before = ownMember();
@@ -427,7 +437,7 @@
     }
     const auto &path = configuration_->findService(settings_.service)->healthPath;
     instance_.queryHealth(path, [this](const mesh::InstanceReport &report) {
-        if (registry_.knowsDeparture() || loop_->now() - openedAt_ >= internal::departureWait) {
+        if (registry_.knowsDepartures() || loop_->now() - openedAt_ >= internal::departureWait) {
             applyUnlessDeparted(report);
         } else {
             healthReport_ = report;
@@ -441,10 +451,11 @@
     return service != nullptr && !service->healthPath.empty();
 }
 
-auto Node::handleDepartureKnown(const std::optional<mesh::InstanceDeparture> &departure) -> void
+auto Node::handleDeparturesKnown(const std::span<const mesh::InstanceDeparture> departures) -> void
 {
-    departure_ = departure;
-    if (hasDeparted(instance_.latest())) {
+    departures_.merge(departures);
+    const auto &latest = instance_.latest();
+    if (departures_.known().contains(latest) || mayHaveEnded(latest)) {
         instance_.markLeaving();
     }
     if (const auto report = std::exchange(healthReport_, std::nullopt)) {
@@ -458,22 +469,33 @@
 auto Node::applyUnlessDeparted(const mesh::InstanceReport &report) -> void
 {
     // An acknowledged departure also applies to this process, whatever the instance's health check reports.
-    if (!hasDeparted(report)) {
+    if (!departures_.known().contains(report)) {
         applyInstanceReport(report);
     }
 }
 
-auto Node::applyUnlessLate(const mesh::InstanceReport &report) -> void
+auto Node::applyUnlessLate(mesh::InstanceReport report) -> void
 {
-    // The start before the one that departed, or one after a step back of the clock: it is used once it keeps
-    // reporting.
-    const auto mayBeLate = report.state == mesh::InstanceState::Ready && departure_
-                        && mesh::isOfEarlierStart(*departure_, report) && !reportedStart_.isRunning(report);
-    if (mayBeLate) {
+    const auto &latest = instance_.latest();
+    const auto isAfterLatest = latest.startTimeMs != 0 && latest.startTimeMs < report.startTimeMs;
+    if (departures_.known().contains(report)) {
+        // It was sent before the departure.
+        if (!latest.id.empty()) {
+            logIgnoredReport(report, "departed");
+            return;
+        }
+        report.state = mesh::InstanceState::Draining;
+    } else if (!isAfterLatest && !mesh::isSameStart(report, latest) && mayHaveEnded(report)) {
         logIgnoredReport(report, "precedes_departure");
         return;
     }
-    applyInstanceReport(withKnownDeparture(report));
+    applyInstanceReport(report);
+}
+
+auto Node::mayHaveEnded(const mesh::InstanceReport &report) const -> bool
+{
+    // The start before one that departed, or one after a step back of the clock: it is used once it keeps reporting.
+    return departures_.known().mayPrecede(report) && !reportedStart_.isRunning(report);
 }
 
 auto Node::logIgnoredReport(const mesh::InstanceReport &report, const std::string_view cause) -> void
@@ -490,21 +512,6 @@
                 {"known_start_ms", latest.startTimeMs}});
 }
 
-auto Node::withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport
-{
-    // A report that was sent before the departure may arrive after this process has started.
-    if (hasDeparted(report)) {
-        report.state = std::max(report.state, mesh::InstanceState::Draining);
-    }
-    return report;
-}
-
-auto Node::hasDeparted(const mesh::InstanceReport &report) const -> bool
-{
-    return departure_ && mesh::covers(*departure_, report)
-        && !(mesh::isOfEarlierStart(*departure_, report) && reportedStart_.isRunning(report));
-}
-
 auto Node::applyConfiguration(mesh::Configuration configuration) -> void
 {
     const auto isFirst = !configuration_;
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -2,6 +2,7 @@
 #define JASMINELATCH_SIDECAR_NODE_HPP
 
 #include "decision_log.hpp"
+#include "departure_store.hpp"
 #include "dialect.hpp"
 #include "fleet.hpp"
 #include "http_server.hpp"
@@ -32,6 +33,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -78,21 +80,22 @@
     [[nodiscard]] auto answerMetrics() const -> mesh::Answer;
     [[nodiscard]] auto answerExplanation(const mesh::Request &request) const -> mesh::Answer;
     auto handleReport(const mesh::Request &request, HttpServer::Respond respond) -> void;
+    auto handleReadyReport(const mesh::InstanceReport &report) -> void;
+    auto handleDepartureReport(mesh::InstanceReport report) -> void;
     [[nodiscard]] auto mustHold(const mesh::InstanceReport &report) const -> bool;
     auto acknowledge(const mesh::InstanceReport &report, HttpServer::Respond respond) -> void;
-    auto recordDeparture() -> void;
     auto handleStoreRestored() -> void;
     [[nodiscard]] auto canProbe() const -> bool;
     auto applyConfiguration(mesh::Configuration configuration) -> void;
     auto applyEvacuation() -> void;
     auto probeInstance() -> void;
     auto applyUnlessDeparted(const mesh::InstanceReport &report) -> void;
-    auto applyUnlessLate(const mesh::InstanceReport &report) -> void;
+    auto applyUnlessLate(mesh::InstanceReport report) -> void;
     auto logIgnoredReport(const mesh::InstanceReport &report, std::string_view cause) -> void;
-    [[nodiscard]] auto hasDeparted(const mesh::InstanceReport &report) const -> bool;
-    [[nodiscard]] auto withKnownDeparture(mesh::InstanceReport report) const -> mesh::InstanceReport;
+    /*! @brief Tells whether the start that a report names may have ended, and has not shown that it is running. */
+    [[nodiscard]] auto mayHaveEnded(const mesh::InstanceReport &report) const -> bool;
     auto applyInstanceReport(const mesh::InstanceReport &report) -> void;
-    auto handleDepartureKnown(const std::optional<mesh::InstanceDeparture> &departure) -> void;
+    auto handleDeparturesKnown(std::span<const mesh::InstanceDeparture> departures) -> void;
     auto publishOwnMember() -> void;
     auto raiseIncarnation(std::uint64_t above) -> void;
     auto tick() -> void;
@@ -129,6 +132,7 @@
     LocalInstance instance_;
     RegistryClient registry_;
     StoreWriter writer_;
+    DepartureStore departures_;
     QuarantineStore quarantines_;
     Fleet fleet_;
     RequestRouter router_;
@@ -141,8 +145,6 @@
     std::optional<mesh::InstanceReport> healthReport_; /*!< Held back until an earlier departure is known. */
     std::optional<mesh::InstanceReport> heldReport_; /*!< Latest report of a ready instance, held back likewise. */
     mesh::ReportedStart reportedStart_{{}};
-    std::optional<mesh::InstanceDeparture> departure_; /*!< Departure that an earlier process acknowledged. */
-    mesh::InstanceDeparture recorded_; /*!< Departure that this process has recorded last. */
     TimePoint openedAt_;
     std::optional<TimePoint> stoppingSince_;
     std::uint64_t recordVersion_{1};
--- a/src/jasminelatch/sidecar/registry_client.cpp
+++ b/src/jasminelatch/sidecar/registry_client.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace jasminelatch::sidecar {
 
@@ -66,9 +67,9 @@
     writeRecord();
 }
 
-auto RegistryClient::knowsDeparture() const -> bool
+auto RegistryClient::knowsDepartures() const -> bool
 {
-    return knowsDeparture_;
+    return knowsDepartures_;
 }
 
 auto RegistryClient::deregister() -> void
@@ -467,8 +468,8 @@
         return;
     }
     if (item.key.starts_with(departurePrefix)) {
-        const auto departure = mesh::decodeDeparture(item.value);
-        removeIfExpired(item, departure ? departure->recordedMs : 0, internal::departureMemory);
+        const auto departures = mesh::decodeDepartures(item.value);
+        removeIfExpired(item, departures ? departures->back().recordedMs : 0, internal::departureMemory);
         return;
     }
     if (item.key.starts_with(crashPrefix)) {
@@ -724,8 +725,8 @@
     const auto key = storeKey(recordPrefix, ownRecord_->name);
     const auto departureKey = storeKey(departurePrefix, ownRecord_->name);
     const auto &store = context_.dialect.store;
-    callChannel_.call(knowsDeparture_ ? store.put(key, text, lease_)
-                                      : store.putIfAbsent(key, departureKey, text, lease_),
+    callChannel_.call(knowsDepartures_ ? store.put(key, text, lease_)
+                                       : store.putIfAbsent(key, departureKey, text, lease_),
                       settings_.callTimeout,
                       [this, text, lease = lease_](const auto &result) { handleRecordWrite(result, text, lease); });
 }
@@ -742,13 +743,13 @@
     }
     if (internal::isOk(result)) {
         writtenRecord_ = written;
-        if (!knowsDeparture_) {
-            setDeparture(std::nullopt);
+        if (!knowsDepartures_) {
+            setDepartures({});
         }
         writeRecord();
         return;
     }
-    if (internal::statusOf(result) == internal::statusConflict && !knowsDeparture_) {
+    if (internal::statusOf(result) == internal::statusConflict && !knowsDepartures_) {
         handleRecordConflict(*result.answer);
         writeRecord();
         return;
@@ -765,13 +766,14 @@
     if (!items) {
         context_.log.write("earlier_departure_unreadable", {{"answer_read", false}});
     }
-    std::optional<mesh::InstanceDeparture> departure;
+    std::vector<mesh::InstanceDeparture> departures;
     for (const auto &item : items.value_or(std::vector<StoreItem>{})) {
         if (item.removed || item.key != storeKey(departurePrefix, ownRecord_->name)) {
             continue;
         }
-        departure = mesh::decodeDeparture(item.value);
-        if (!departure) {
+        if (auto stored = mesh::decodeDepartures(item.value)) {
+            departures = std::move(*stored);
+        } else {
             context_.log.write("earlier_departure_unreadable", {{"answer_read", true}});
         }
     }
@@ -780,27 +782,27 @@
     for (const auto &item : items.value_or(std::vector<StoreItem>{})) {
         const auto record = item.key == storeKey(recordPrefix, ownRecord_->name) ? mesh::decodeMember(item.value)
                                                                                  : std::optional<mesh::Member>{};
-        if (!departure && record && !record->accepting && !record->instanceId.empty()
+        if (departures.empty() && record && !record->accepting && !record->instanceId.empty()
             && record->incarnation != ownRecord_->incarnation) {
-            departure = {record->instanceId, record->instanceStartMs};
+            departures.push_back({record->instanceId, record->instanceStartMs});
         }
         former = record ? record : former;
     }
-    setDeparture(departure);
+    setDepartures(departures);
     if (former) {
         // It may have a later incarnation than this process, after a step back of the clock.
         hooks_.memberListed(*former);
     }
 }
 
-auto RegistryClient::setDeparture(const std::optional<mesh::InstanceDeparture> &departure) -> void
+auto RegistryClient::setDepartures(const std::span<const mesh::InstanceDeparture> departures) -> void
 {
-    knowsDeparture_ = true;
-    context_.log.write("earlier_departure",
-                       {{"found", departure.has_value()},
-                        {"instance", departure ? departure->instanceId : std::string{}},
-                        {"instance_start_ms", departure ? departure->startTimeMs : 0}});
-    hooks_.departureKnown(departure);
+    knowsDepartures_ = true;
+    context_.log.write("earlier_departures",
+                       {{"count", departures.size()},
+                        {"instance", departures.empty() ? std::string{} : departures.back().instanceId},
+                        {"instance_start_ms", departures.empty() ? 0 : departures.back().startTimeMs}});
+    hooks_.departuresKnown(departures);
 }
 
 auto RegistryClient::scheduleRecordRetry() -> void
--- a/src/jasminelatch/sidecar/registry_client.hpp
+++ b/src/jasminelatch/sidecar/registry_client.hpp
@@ -20,6 +20,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -83,9 +84,10 @@
         /*! @brief A newer configuration was decoded. */
         std::function<void(mesh::Configuration configuration)> configurationChanged;
         std::function<void(const mesh::Member &member)> memberListed; /*!< A node's record was read. */
-        /*! @brief Departure that an earlier process of this node acknowledged last, or nothing; never from a stale
-         * read. */
-        std::function<void(const std::optional<mesh::InstanceDeparture> &departure)> departureKnown;
+        /*! @brief Departures that earlier processes of this node acknowledged, the latest last; never from a stale
+         * read.
+         */
+        std::function<void(std::span<const mesh::InstanceDeparture> departures)> departuresKnown;
         /*! @brief Names of all nodes that have a record, after a complete listing; may lag by seconds. */
         std::function<void(const std::set<std::string> &names)> membersListed;
         std::function<void(const mesh::StoredCrash &stored)> crashListed; /*!< A quarantined request was read. */
@@ -123,8 +125,8 @@
      */
     auto setOwnRecord(const mesh::Member &member) -> void;
 
-    /*! @brief Tells whether the store has shown the departure that an earlier process acknowledged, if any. */
-    [[nodiscard]] auto knowsDeparture() const -> bool;
+    /*! @brief Tells whether the store has shown the departures that earlier processes acknowledged, if any. */
+    [[nodiscard]] auto knowsDepartures() const -> bool;
 
     /*! @brief Removes this node's record before the node stops. */
     auto deregister() -> void;
@@ -229,7 +231,7 @@
     auto handleRecordWrite(const HttpConnection::Result &result, const std::string &written, std::uint64_t lease)
         -> void;
     auto handleRecordConflict(const mesh::Answer &answer) -> void;
-    auto setDeparture(const std::optional<mesh::InstanceDeparture> &departure) -> void;
+    auto setDepartures(std::span<const mesh::InstanceDeparture> departures) -> void;
     auto scheduleRecordRetry() -> void;
     [[nodiscard]] auto jittered(Duration maxDelay, double minFraction) -> Duration;
 
@@ -275,7 +277,7 @@
     std::uint64_t lease_{};
     event::TimerId renewTimer_{};
     bool isWritingRecord_{};
-    bool knowsDeparture_{}; /*!< Whether the first write has shown what an earlier process left. */
+    bool knowsDepartures_{}; /*!< Whether the first write has shown what an earlier process left. */
     bool isLeaving_{};
 };
 
--- a/src/jasminelatch/sidecar/store_writer.cpp
+++ b/src/jasminelatch/sidecar/store_writer.cpp
@@ -13,9 +13,10 @@
 
 } // namespace internal
 
-StoreWriter::StoreWriter(Context context, const event::Endpoint &store, Settings settings)
+StoreWriter::StoreWriter(Context context, const event::Endpoint &store, Settings settings, Hooks hooks)
     : context_{context}
     , settings_{settings}
+    , hooks_{std::move(hooks)}
     , channel_{context.loop, store}
     , backoff_{settings.initialBackoff}
 {
@@ -130,8 +131,12 @@
         return;
     }
     const auto found = std::ranges::find(*items, write.key, &StoreItem::key);
+    const auto isPresent = found != items->end() && !found->removed;
     if (write.round == round_) {
-        items_.at(write.key).revision = found == items->end() || found->removed ? 0 : found->revision;
+        items_.at(write.key).revision = isPresent ? found->revision : 0;
+    }
+    if (isPresent && hooks_.conflictFound) {
+        hooks_.conflictFound(*found);
     }
     isBusy_ = false;
     writeNext();
--- a/src/jasminelatch/sidecar/store_writer.hpp
+++ b/src/jasminelatch/sidecar/store_writer.hpp
@@ -41,6 +41,13 @@
         Counters &counters; /*!< Receives `store.keep` and `store.failed`. */
     };
 
+    /*! @brief Functions of the owner of the items. */
+    struct Hooks {
+        /*! @brief A write met an item that this process has not written; it is replaced by the value that was put last,
+         * which may be put during the call. */
+        std::function<void(const StoreItem &item)> conflictFound;
+    };
+
     /*! @brief Called once: whether the store has the item, or the time ran out first. */
     using Finished = std::function<void(bool isStored)>;
 
@@ -49,8 +56,9 @@
      * @param context Dependencies.
      * @param store Address of the store.
      * @param settings Timeout and backoff.
+     * @param hooks Functions of the owner of the items.
      */
-    StoreWriter(Context context, const event::Endpoint &store, Settings settings);
+    StoreWriter(Context context, const event::Endpoint &store, Settings settings, Hooks hooks);
 
     StoreWriter(const StoreWriter &) = delete;
     auto operator=(const StoreWriter &) -> StoreWriter & = delete;
@@ -108,6 +116,7 @@
 
     Context context_;
     Settings settings_;
+    Hooks hooks_;
     StoreChannel channel_;
     std::map<std::string, Item> items_;
     Duration backoff_;
--- a/test/jasminelatch/sidecar/clock_step.cpp
+++ b/test/jasminelatch/sidecar/clock_step.cpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace jasminelatch::sidecar {
 
@@ -149,7 +150,9 @@
 TEST_F(ClockStep, ANodeThatKnowsALaterDepartureUsesAnInstanceThatKeepsReporting)
 {
     // Guards against the same after a restart of the node, which compares with the departure in the store.
-    store.put("jasminelatch/departures/late", base64(mesh::encodeDeparture({"i-old", 1700, wallClockMilliseconds()})));
+    store.put(
+        "jasminelatch/departures/late",
+        base64(mesh::encodeDepartures(std::vector{mesh::InstanceDeparture{"i-old", 1700, wallClockMilliseconds()}})));
     const TestNode late{loopback, storeAt, "late", "orders"};
     ASSERT_TRUE(loopback.runUntil([&] { return isReady(late); }));
     EXPECT_EQ(sendInstanceReport(loopback, back, "draining", 2).status, 200U);
--- a/test/jasminelatch/sidecar/departure.cpp
+++ b/test/jasminelatch/sidecar/departure.cpp
@@ -1,102 +1,11 @@
-#include "test_node.hpp"
+#include "departure_fixture.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstddef>
-#include <memory>
-#include <string>
-#include <vector>
 
 namespace jasminelatch::sidecar {
 
-namespace {
-
-/*! @brief A node that receives client requests, and one beside an instance that leaves, whose process ends. */
-struct DepartureTest: testing::Test {
-    DepartureTest()
-    {
-        store.put("op/config", configuration("0000000c", R"("k1")"));
-        startBack();
-        EXPECT_TRUE(loopback.runUntil([&] { return isReady(front) && isReady(*back); }));
-        EXPECT_EQ(report("ready", 1).status, 200U);
-        EXPECT_TRUE(loopback.runUntil([&] { return fetch().status == 200; }));
-    }
-
-    /*! @brief Starts a process of the node beside the instance; the one before it ends without a word. */
-    auto startBack(const bool isInstanceLeaving = false) -> void
-    {
-        if (back) {
-            loops.back()->isSuspended = true;
-            retired.push_back(std::move(back));
-            retired.back()->node.reset();
-        }
-        loops.push_back(std::make_unique<SuspendableLoopback>());
-        loops.back()->runWith(loopback);
-        back = std::make_unique<Process>(*loops.back(), storeAt);
-        if (isInstanceLeaving) {
-            back->node->instance.status = 503;
-            back->node->instance.extraFields = {{"Server-Leaving", "1"}};
-        }
-    }
-
-    struct Process {
-        Process(SuspendableLoopback &loop, const event::Endpoint &store)
-            : node{std::make_unique<TestNode>(loop, store, "back", "orders")}
-        {
-        }
-        std::unique_ptr<TestNode> node;
-    };
-
-    auto isReady(const TestNode &node) -> bool
-    {
-        return getFrom(loopback, node.settings.ready, "/v1/ready").status == 200;
-    }
-    auto isReady(const Process &process) -> bool { return isReady(*process.node); }
-
-    auto report(const std::string &state, const int sequence, const int startTimeMs = 1700) -> mesh::Answer
-    {
-        return sendInstanceReport(loopback, *back->node, state, sequence, startTimeMs);
-    }
-
-    auto deregister() -> mesh::Answer
-    {
-        return sendTo(loopback,
-                      back->node->settings.reports,
-                      {"POST", "/v1/Instances.Deregister/i-back", {{"Host", "x"}}, R"({"born":1700})"});
-    }
-
-    auto fetch() -> mesh::Answer { return fetchAt(loopback, front, "/m/1", "k1"); }
-
-    /*! @brief Expects that a late report does not bring the instance back. */
-    auto expectGone() -> void
-    {
-        ASSERT_TRUE(loopback.runUntil([&] { return isReady(*back); }));
-        loopback.runFor(300ms);
-        EXPECT_EQ(report("ready", 9).status, 200U) << "sent before the instance began to leave";
-        loopback.runFor(500ms);
-        EXPECT_EQ(fetch().status, 503U);
-        EXPECT_LE(requestsOf("/m/1"), 0) << "only health checks reach it";
-        EXPECT_EQ(report("ready", 1, 1800).status, 200U);
-        EXPECT_TRUE(loopback.runUntil([&] { return fetch().status == 200; }, 2s)) << "another start is used";
-    }
-
-    [[nodiscard]] auto requestsOf(const std::string &target) const -> std::ptrdiff_t
-    {
-        return std::ranges::count(back->node->instance.requests, target, &mesh::Request::target);
-    }
-
-    Loopback loopback;
-    event::Endpoint storeAt{Loopback::freeEndpoint()};
-    test::PlatformStore store{loopback.loop, storeAt};
-    TestNode front{loopback, storeAt, "front", "catalogue"};
-    std::vector<std::unique_ptr<SuspendableLoopback>> loops;
-    std::vector<std::unique_ptr<Process>> retired;
-    std::unique_ptr<Process> back;
-};
-
-} // namespace
-
 TEST_F(DepartureTest, ADepartureOutlastsAPlannedStopOfTheNode)
 {
     // Guards against DRAIN of review/2: a planned stop removed the only trace of the departure.
--- /dev/null
+++ b/test/jasminelatch/sidecar/departure_order.cpp
@@ -0,0 +1,121 @@
+#include "departure_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace jasminelatch::sidecar {
+
+namespace {
+
+/*! @brief Departures that arrive in another order than the starts that they end, or of starts that are not known. */
+struct DepartureOrderTest: DepartureTest {
+    /*! @brief The next instance takes over, and leaves before any of its reports has arrived. */
+    auto leaveUnheard(const std::string &id, const int startTimeMs) -> void
+    {
+        back->node->instance.id = id;
+        back->node->instance.status = 503;
+        EXPECT_EQ(deregister(id, startTimeMs).status, 200U);
+    }
+};
+
+} // namespace
+
+TEST_F(DepartureOrderTest, ADepartureThatOvertakesTheFirstReportHolds)
+{
+    // Guards against DRAIN of review/7: a departure of a start that the node did not know was acknowledged and dropped.
+    EXPECT_EQ(deregister().status, 200U);
+    leaveUnheard("i-next", 1800);
+    EXPECT_EQ(reportAs("i-next", "ready", 1, 1800).status, 200U);
+    expectUnused("i-next");
+    expectUsed("i-third", 1900);
+}
+
+TEST_F(DepartureOrderTest, ADepartureThatOvertakesTheFirstReportHoldsWhereTheFormerInstanceHasCrashed)
+{
+    // Guards against DRAIN of review/7 where the record holds an instance that never left.
+    leaveUnheard("i-next", 1800);
+    EXPECT_EQ(reportAs("i-next", "ready", 1, 1800).status, 200U);
+    expectUnused("i-next");
+    expectUsed("i-third", 1900);
+}
+
+TEST_F(DepartureOrderTest, ADepartureThatOvertakesTheFirstReportOutlastsAKillOfTheNode)
+{
+    // Guards against DRAIN of review/7 after a kill: the departure was not in the store when it was acknowledged.
+    EXPECT_EQ(deregister().status, 200U);
+    leaveUnheard("i-next", 1800);
+    startBack();
+    back->node->instance.status = 503;
+    ASSERT_TRUE(loopback.runUntil([&] { return isReady(*back); }));
+    loopback.runFor(300ms);
+    EXPECT_EQ(reportAs("i-next", "ready", 1, 1800).status, 200U);
+    loopback.runFor(300ms);
+    expectUnused("i-next");
+    expectUsed("i-third", 1900);
+}
+
+TEST_F(DepartureOrderTest, SeveralDeparturesInARowOutlastTwoKillsOfTheNode)
+{
+    // Guards against DRAIN of review/7: only the latest of several departures was kept, in the order of arrival.
+    EXPECT_EQ(deregister().status, 200U);
+    leaveUnheard("i-second", 1600);
+    startBack();
+    // It arrives before the process has heard from the store.
+    leaveUnheard("i-third", 1500);
+    loopback.runFor(700ms);
+    startBack();
+    back->node->instance.status = 503;
+    ASSERT_TRUE(loopback.runUntil([&] { return isReady(*back); }));
+    loopback.runFor(300ms);
+    for (const auto &[id, startTimeMs] : {std::pair{"i-back", 1700}, {"i-second", 1600}, {"i-third", 1500}}) {
+        EXPECT_EQ(reportAs(id, "ready", 9, startTimeMs).status, 200U);
+        loopback.runFor(100ms);
+        expectUnused(id);
+    }
+    keepReporting("i-second", 1600);
+    expectUnused("i-second");
+    expectUsed("i-fourth", 1800);
+}
+
+TEST_F(DepartureOrderTest, ADepartureOfAStartThatSeemsToPrecedeTheLatestHolds)
+{
+    // Guards against DRAIN of review/7 after a step back of the clock: late reports, each after a pause, were believed.
+    leaveUnheard("i-next", 1600);
+    keepReporting("i-next", 1600);
+    expectUnused("i-next");
+    expectUsed("i-third", 1800);
+}
+
+TEST_F(DepartureOrderTest, ARepeatedDepartureIsAcknowledgedAndCostsNoWrite)
+{
+    leaveUnheard("i-next", 1800);
+    EXPECT_EQ(deregister("i-next", 1800).status, 200U) << "sent again, as if the first acknowledgement was lost";
+    loopback.runFor(500ms);
+    const auto metrics = getFrom(loopback, back->node->settings.metrics, "/metrics").body.text();
+    EXPECT_NE(metrics.find("jasminelatch_store_keep_total 1\n"), std::string::npos) << metrics;
+}
+
+TEST_F(DepartureOrderTest, ADepartureOfAnUnknownStartThatTheStoreDoesNotTakeIsNotAcknowledged)
+{
+    // Guards against an acknowledgement of what does not outlast the node.
+    store.down = true;
+    EXPECT_EQ(deregister("i-next", 1800).status, 503U);
+    EXPECT_EQ(reportAs("i-next", "ready", 1, 1800).status, 200U);
+    expectUnused("i-next");
+    store.down = false;
+    EXPECT_TRUE(loopback.runUntil([&] { return deregister("i-next", 1800).status == 200; }, 2s));
+}
+
+TEST_F(DepartureOrderTest, ALateDepartureOfAnEarlierStartDoesNotRemoveTheOneThatRuns)
+{
+    // The sound case: the departure of the former start arrives after the next one was used, with the same id or not.
+    expectUsed("i-next", 1800);
+    EXPECT_EQ(deregister().status, 200U);
+    EXPECT_EQ(fetch().body, "from i-next");
+    expectUsed("i-next", 1900);
+    EXPECT_EQ(deregister("i-next", 1800).status, 200U);
+    EXPECT_EQ(fetch().body, "from i-next");
+    EXPECT_EQ(reportAs("i-next", "draining", 9, 1800).status, 200U);
+    EXPECT_EQ(fetch().body, "from i-next");
+}
+
+} // namespace jasminelatch::sidecar
--- a/test/jasminelatch/sidecar/store_writer.cpp
+++ b/test/jasminelatch/sidecar/store_writer.cpp
@@ -6,6 +6,7 @@
 #include <platform/dialect.hpp>
 #include <support/platform_store.hpp>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -33,7 +34,12 @@
     Dialect dialect{platform::makeDialect()};
     Counters counters;
     DecisionLog log{{}, loopback.clock, "node"};
-    StoreWriter writer{{loopback.loop, dialect, log, counters}, storeAt, {}};
+    StoreWriter writer{{loopback.loop, dialect, log, counters}, storeAt, {}, {[this](const StoreItem &item) {
+                           if (conflictFound) {
+                               conflictFound(item);
+                           }
+                       }}};
+    std::function<void(const StoreItem &item)> conflictFound;
 };
 
 } // namespace
@@ -60,6 +66,18 @@
     EXPECT_TRUE(loopback.runUntil([&] { return !store.find("k"); }, 500ms));
 }
 
+TEST_F(StoreWriterTest, TheOwnerMayAddWhatAnEarlierProcessHasWritten)
+{
+    store.put("k", "YQ==");
+    conflictFound = [this](const StoreItem &item) {
+        EXPECT_EQ(item.key, "k");
+        writer.put("k", item.value + "b");
+    };
+    writer.put("k", "b");
+    EXPECT_TRUE(isStored("k"));
+    EXPECT_EQ(store.find("k"), "YWI=") << "a and b";
+}
+
 TEST_F(StoreWriterTest, RetriesWhileTheStoreIsAwayAndEndsTheWaitInTime)
 {
     store.down = true;
