Order the starts of an instance by their first reports where the clock may have been stepped back

And a late departure of the start before a step back removed the instance that runs for some five seconds.

Cause: starts were ordered by their times alone. A lower time made a departure one of the past, a higher one made it that of the newest start.

Evidence: on the four tests added here fail (DepartureOrderTest.ADepartureAfterAStepBack* (2), AnInstanceThatRunsIsConfirmed*, ALateDepartureDoesNotRemove*).

Why this works: mesh::StartHistory knows in which order starts were first heard of; a departure of an earlier one, or one that is known, leaves the start in use alone. If the order is not known, the id the same and the time lower, the start in use gets no requests until a health check that was sent afterwards, or three reports over four seconds, show that it runs. After: all four pass. No clock was stepped. No further store calls; one health check for such a departure.

--- a/src/jasminelatch/mesh/fwd.hpp
+++ b/src/jasminelatch/mesh/fwd.hpp
@@ -15,6 +15,7 @@
 class Placement;
 class ReportedStart;
 class RetryBudget;
+class StartHistory;
 class UsageCaps;
 struct Answer;
 struct Configuration;
--- a/src/jasminelatch/sidecar/local_instance.cpp
+++ b/src/jasminelatch/sidecar/local_instance.cpp
@@ -81,6 +81,7 @@
     }
     const auto hasRestarted = before.id != latest.id || before.startTimeMs != latest.startTimeMs;
     if (hasRestarted) {
+        unconfirmedSince_.reset();
         pool_.reset();
         breaker_.reset();
         markUp();
@@ -132,6 +133,9 @@
         context_.log.write("instance_asked", {{"healthy", report.has_value()}, {"error", result.error}});
         if (report) {
             isLeavingUnnamed_ = false;
+            if (unconfirmedSince_ && now >= *unconfirmedSince_ && report->id == record_.report().id) {
+                confirm();
+            }
             found(*report);
             applyColdStart(report->coldStartRemaining, now);
             advance();
@@ -214,6 +218,31 @@
     hooks_.departed();
 }
 
+auto LocalInstance::awaitConfirmation() -> void
+{
+    if (!record_.isReady()) {
+        return;
+    }
+    unconfirmedSince_ = context_.loop.now();
+    context_.log.write("instance_unconfirmed", {{"instance", record_.report().id}});
+    refuseQueued(mesh::HopReason::Leaving);
+    hooks_.availabilityChanged();
+}
+
+auto LocalInstance::confirm() -> void
+{
+    if (!std::exchange(unconfirmedSince_, std::nullopt)) {
+        return;
+    }
+    context_.log.write("instance_confirmed", {{"instance", record_.report().id}});
+    hooks_.availabilityChanged();
+}
+
+auto LocalInstance::isUnconfirmed() const -> bool
+{
+    return record_.isReady() && unconfirmedSince_.has_value();
+}
+
 auto LocalInstance::stopAccepting() -> void
 {
     stopped_ = true;
@@ -222,7 +251,7 @@
 
 auto LocalInstance::isAccepting() const -> bool
 {
-    return record_.isReady() && !stopped_ && !isEvacuated_;
+    return record_.isReady() && !unconfirmedSince_ && !stopped_ && !isEvacuated_;
 }
 
 auto LocalInstance::isAvailable() const -> bool
--- a/src/jasminelatch/sidecar/local_instance.hpp
+++ b/src/jasminelatch/sidecar/local_instance.hpp
@@ -53,7 +53,7 @@
     /*! @brief Functions of the node that the instance calls. */
     struct Hooks {
         std::function<void()> departed; /*!< An answer of the instance says that it is leaving. */
-        std::function<void()> availabilityChanged; /*!< The instance has crashed, or accepts connections again. */
+        std::function<void()> availabilityChanged; /*!< The instance has crashed, or accepts requests again. */
     };
 
     /**
@@ -116,6 +116,17 @@
     /*! @brief Stops sending requests to the present start of the instance, since it is leaving. */
     auto markLeaving() -> void;
 
+    /*! @brief Sends no requests to the present start of the instance until it is confirmed, as it may have ended: by
+     * `confirm`, or by a health query from now on that finds an instance of its id healthy. Ignored unless it is ready.
+     */
+    auto awaitConfirmation() -> void;
+
+    /*! @brief Resumes sending requests, since the present start of the instance is running. */
+    auto confirm() -> void;
+
+    /*! @brief Tells whether the present start of the instance waits for its confirmation. */
+    [[nodiscard]] auto isUnconfirmed() const -> bool;
+
     /*! @brief Refuses queued and new requests from now on, since the node is about to stop; running ones finish. */
     auto stopAccepting() -> void;
 
@@ -235,6 +246,7 @@
     std::uint32_t loggedLimit_{}; /*!< Learned limit in the last log line; zero before the first run. */
     bool stopped_{};
     bool isEvacuated_{}; /*!< Whether the instance gets no requests, since its failure domain is evacuated. */
+    std::optional<TimePoint> unconfirmedSince_; /*!< Since when the present start of the instance may have ended. */
     std::optional<TimePoint> healthQueriedAt_; /*!< When the health query under way was sent. */
     bool isLeavingUnnamed_{}; /*!< Whether an instance whose id is not known yet says that it is leaving. */
     bool isDown_{}; /*!< Whether the instance accepts no connections. */
--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -47,6 +47,8 @@
 constexpr Duration departureWait = std::chrono::seconds{2};
 /*! @brief Time for which the acknowledgement of a departure waits for the store; instances wait a second for it. */
 constexpr Duration acknowledgementWait = std::chrono::milliseconds{900};
+/*! @brief Number of starts of instances whose order is remembered. */
+constexpr std::size_t maxStartHistory = 32;
 /*! @brief Part of the grace period that is reserved for the shutdown itself. */
 constexpr Duration graceMargin = std::chrono::milliseconds{400};
 /*! @brief Divisor of the memory limit for messages; the other half is for everything else, and for moving a body of
@@ -213,6 +215,7 @@
                    },
                    &budget_,
                    internal::connectionLimit(internal::otherDescriptorDivisor))}
+    , startHistory_{internal::maxStartHistory}
 {
 }
 
@@ -327,6 +330,7 @@
         return;
     }
     reportedStart_.record(*report, loop_->now());
+    startHistory_.record(*report);
     if (report->state == mesh::InstanceState::Ready) {
         handleReadyReport(*report);
     } else {
@@ -346,6 +350,13 @@
         return;
     }
     applyUnlessLate(report);
+    if (instance_.isUnconfirmed()) {
+        if (reportedStart_.isRunning(instance_.latest())) {
+            instance_.confirm();
+        } else {
+            probeInstance();
+        }
+    }
 }
 
 auto Node::handleDepartureReport(mesh::InstanceReport report) -> void
@@ -357,10 +368,18 @@
     // It may precede all other reports of its start, or follow those of the next one: it counts for its start alone.
     const auto isRepeated = departures_.known().contains(report);
     departures_.record(report);
-    if (isRepeated && !latest.id.empty() && !mesh::isSameStart(report, latest)) {
+    const auto isOtherStart = !latest.id.empty() && !mesh::isSameStart(report, latest);
+    if (isOtherStart && (isRepeated || startHistory_.precedes(report, latest))) {
         logIgnoredReport(report, "other_start");
         return;
     }
+    if (isOtherStart && report.id == latest.id && report.startTimeMs < latest.startTimeMs) {
+        // The report is late, or the clock was stepped back and the start that seems to be the latest has ended:
+        // requests name the id of an instance alone.
+        instance_.awaitConfirmation();
+        probeInstance();
+        return;
+    }
     applyInstanceReport(report);
 }
 
@@ -430,8 +449,8 @@
 
 auto Node::probeInstance() -> void
 {
-    const auto isWanted =
-        instance_.isAwaitingFirstAnswer() || instance_.latest().id.empty() || instance_.isColdStartSuspected();
+    const auto isWanted = instance_.isAwaitingFirstAnswer() || instance_.latest().id.empty()
+                       || instance_.isColdStartSuspected() || instance_.isUnconfirmed();
     if (!isWanted || !canProbe()) {
         return;
     }
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -24,6 +24,7 @@
 #include <jasminelatch/mesh/placement.hpp>
 #include <jasminelatch/mesh/reported_start.hpp>
 #include <jasminelatch/mesh/retry_budget.hpp>
+#include <jasminelatch/mesh/start_history.hpp>
 #include <jasminelatch/mesh/tree_admission.hpp>
 #include <jasminelatch/mesh/usage_caps.hpp>
 
@@ -145,6 +146,7 @@
     std::optional<mesh::InstanceReport> healthReport_; /*!< Held back until an earlier departure is known. */
     std::optional<mesh::InstanceReport> heldReport_; /*!< Latest report of a ready instance, held back likewise. */
     mesh::ReportedStart reportedStart_{{}};
+    mesh::StartHistory startHistory_; /*!< Starts that have reported to this process. */
     TimePoint openedAt_;
     std::optional<TimePoint> stoppingSince_;
     std::uint64_t recordVersion_{1};
--- a/test/jasminelatch/sidecar/departure_order.cpp
+++ b/test/jasminelatch/sidecar/departure_order.cpp
@@ -118,4 +118,67 @@
     EXPECT_EQ(fetch().body, "from i-next");
 }
 
+TEST_F(DepartureOrderTest, ADepartureAfterAStepBackStopsRequestsToItsId)
+{
+    // Guards against DRAIN after a step back of the clock: an instance started again under its id with a lower start,
+    // and its departure was acknowledged and dropped as one of an earlier start.
+    leaveUnheard("i-back", 1600);
+    loopback.runFor(100ms);
+    expectUnused("i-back");
+    EXPECT_EQ(reportAs("i-back", "ready", 1, 1600).status, 200U);
+    EXPECT_EQ(reportAs("i-back", "ready", 2, 1700).status, 200U) << "of the start before it, which has ended";
+    loopback.runFor(100ms);
+    expectUnused("i-back");
+    expectUsed("i-back", 1800);
+}
+
+TEST_F(DepartureOrderTest, ADepartureAfterAStepBackOfAStartThatHasReportedStopsRequestsToItsId)
+{
+    // Guards against the same where reports of the start arrived, which may have been late by their time.
+    EXPECT_EQ(reportAs("i-back", "ready", 1, 1600).status, 200U);
+    leaveUnheard("i-back", 1600);
+    loopback.runFor(100ms);
+    expectUnused("i-back");
+}
+
+TEST_F(DepartureOrderTest, AnInstanceThatRunsIsConfirmedAfterALateDepartureOfAnEarlierStart)
+{
+    // The sound case beside it: a process that has not heard of the earlier start gets its departure late.
+    startBack();
+    ASSERT_TRUE(loopback.runUntil([&] { return isReady(*back); }));
+    EXPECT_EQ(report("ready", 5).status, 200U);
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch().status == 200; }, 12s));
+    EXPECT_EQ(deregister("i-back", 1600).status, 200U);
+    loopback.runFor(50ms);
+    EXPECT_EQ(fetch().body, "from i-back") << "its health check answers";
+    back->node->instance.status = 503;
+    EXPECT_EQ(deregister("i-back", 1500).status, 200U);
+    loopback.runFor(50ms);
+    expectUnused("i-back");
+    back->node->instance.status = 200;
+    EXPECT_EQ(report("ready", 6).status, 200U);
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch().body == "from i-back"; }, 3s));
+}
+
+TEST_F(DepartureOrderTest, ALateDepartureDoesNotRemoveAnInstanceThatRunsSinceAStepBack)
+{
+    // Guards against a running instance that is removed: the departure of the start before it has the later time.
+    const auto *id = "i-next";
+    for (const auto startTimeMs : {1600, 1500}) {
+        // First another id, then the same id again.
+        back->node->instance.id = id;
+        keepReporting(id, startTimeMs);
+        EXPECT_EQ(fetch().body, "from i-next");
+        const auto *former = startTimeMs == 1600 ? "i-back" : id;
+        EXPECT_EQ(reportAs(former, "draining", 9, startTimeMs + 100).status, 200U);
+        EXPECT_EQ(fetch().body, "from i-next");
+        EXPECT_EQ(deregister(former, startTimeMs + 100).status, 200U);
+        EXPECT_EQ(reportAs(former, "ready", 8, startTimeMs + 100).status, 200U);
+        loopback.runFor(100ms);
+        EXPECT_EQ(fetch().body, "from i-next");
+    }
+    EXPECT_EQ(deregister(id, 1500).status, 200U);
+    expectUnused(id);
+}
+
 } // namespace jasminelatch::sidecar
