Hold reports of another start until the store has told of departures, whatever the record holds

Callers saw: a node restarted while the store took no writes. Once any departure had been reported to it, a late "ready" of another instance, whose departure the process before had acknowledged, put that instance into use.

Cause: only an empty record held reports back; a departure of one instance filled it.

Evidence: ALateReportIsHeldUntilTheStoreAnswersAlsoAfterADeparture fails without the change.

Why this works: until the store has told, a report of another start than the one in use waits for a health check that finds its id, two seconds after the start of the node at the earliest; the check applies the report, which names the start. After: the test passes, and so do two sound cases. No further store calls.

Tried and taken back: to hold a late report also where no health check is possible (no health path, or no configuration yet), until three reports over four seconds have come. DepartureTest.AnInstanceIsUsedWhileTheStoreIsAway failed, rightly: an instance beside a node that is cut off from the store shall be used.

--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -336,7 +336,7 @@
     } else {
         handleDepartureReport(*report);
     }
-    if (instance_.latest().id.empty()) {
+    if (instance_.latest().id.empty() || heldReport_) {
         probeInstance();
     }
     acknowledge(*report, std::move(respond));
@@ -385,7 +385,9 @@
 
 auto Node::mustHold(const mesh::InstanceReport &report) const -> bool
 {
-    if (report.state != mesh::InstanceState::Ready || registry_.knowsDepartures() || !instance_.latest().id.empty()) {
+    const auto &latest = instance_.latest();
+    const auto isInUse = latest.state == mesh::InstanceState::Ready && mesh::isSameStart(report, latest);
+    if (registry_.knowsDepartures() || isInUse) {
         return false;
     }
     // A late report must not bring back an instance whose departure an earlier process has acknowledged.
@@ -419,10 +421,10 @@
     writer_.rewriteAll();
 }
 
-auto Node::applyInstanceReport(const mesh::InstanceReport &report) -> void
+auto Node::applyInstanceReport(const mesh::InstanceReport &report, const bool isRunning) -> void
 {
     const auto before = ownMember();
-    if (!instance_.report(report, reportedStart_.isRunning(report))) {
+    if (!instance_.report(report, isRunning || reportedStart_.isRunning(report))) {
         logIgnoredReport(report, "outdated");
         return;
     }
@@ -450,14 +452,14 @@
 auto Node::probeInstance() -> void
 {
     const auto isWanted = instance_.isAwaitingFirstAnswer() || instance_.latest().id.empty()
-                       || instance_.isColdStartSuspected() || instance_.isUnconfirmed();
+                       || instance_.isColdStartSuspected() || instance_.isUnconfirmed() || heldReport_;
     if (!isWanted || !canProbe()) {
         return;
     }
     const auto &path = configuration_->findService(settings_.service)->healthPath;
     instance_.queryHealth(path, [this](const mesh::InstanceReport &report) {
         if (registry_.knowsDepartures() || loop_->now() - openedAt_ >= internal::departureWait) {
-            applyUnlessDeparted(report);
+            applyHealth(report);
         } else {
             healthReport_ = report;
         }
@@ -478,17 +480,23 @@
         instance_.markLeaving();
     }
     if (const auto report = std::exchange(healthReport_, std::nullopt)) {
-        applyUnlessDeparted(*report);
+        applyHealth(*report);
     }
     if (const auto report = std::exchange(heldReport_, std::nullopt)) {
         applyUnlessLate(*report);
     }
 }
 
-auto Node::applyUnlessDeparted(const mesh::InstanceReport &report) -> void
+auto Node::applyHealth(const mesh::InstanceReport &report) -> void
 {
     // An acknowledged departure also applies to this process, whatever the instance's health check reports.
-    if (!departures_.known().contains(report)) {
+    if (!registry_.knowsDepartures() && heldReport_ && heldReport_->id == report.id) {
+        // A health check names no start, the report that it confirms does.
+        if (!departures_.known().contains(*heldReport_)) {
+            applyInstanceReport(*heldReport_, true);
+        }
+        heldReport_.reset();
+    } else if (!departures_.known().contains(report)) {
         applyInstanceReport(report);
     }
 }
--- a/src/jasminelatch/sidecar/node.hpp
+++ b/src/jasminelatch/sidecar/node.hpp
@@ -90,12 +90,13 @@
     auto applyConfiguration(mesh::Configuration configuration) -> void;
     auto applyEvacuation() -> void;
     auto probeInstance() -> void;
-    auto applyUnlessDeparted(const mesh::InstanceReport &report) -> void;
+    auto applyHealth(const mesh::InstanceReport &report) -> void;
     auto applyUnlessLate(mesh::InstanceReport report) -> void;
     auto logIgnoredReport(const mesh::InstanceReport &report, std::string_view cause) -> void;
     /*! @brief Tells whether the start that a report names may have ended, and has not shown that it is running. */
     [[nodiscard]] auto mayHaveEnded(const mesh::InstanceReport &report) const -> bool;
-    auto applyInstanceReport(const mesh::InstanceReport &report) -> void;
+    /*! @brief Applies a report unless it is outdated; one of a running start is not, whatever its time. */
+    auto applyInstanceReport(const mesh::InstanceReport &report, bool isRunning = false) -> void;
     auto handleDeparturesKnown(std::span<const mesh::InstanceDeparture> departures) -> void;
     auto publishOwnMember() -> void;
     auto raiseIncarnation(std::uint64_t above) -> void;
--- a/test/jasminelatch/sidecar/departure_fixture.hpp
+++ b/test/jasminelatch/sidecar/departure_fixture.hpp
@@ -3,6 +3,8 @@
 
 #include "test_node.hpp"
 
+#include <jasminelatch/sidecar/wall_clock.hpp>
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -35,13 +37,26 @@
         }
         loops.push_back(std::make_unique<SuspendableLoopback>());
         loops.back()->runWith(loopback);
-        back = std::make_unique<Process>(*loops.back(), storeAt);
+        back = std::make_unique<Process>(*loops.back(), backStoreAt);
         if (isInstanceLeaving) {
             back->node->instance.status = 503;
             back->node->instance.extraFields = {{"Server-Leaving", "1"}};
         }
     }
 
+    /*! @brief Starts a process of that node which can only read from the store; its peer still learns of it. */
+    auto startBackApart() -> test::PlatformStore::Address &
+    {
+        backStoreAt = Loopback::freeEndpoint();
+        auto &address = store.openAddress(backStoreAt);
+        address.isReadOnly = true;
+        startBack();
+        store.put("jasminelatch/nodes/back",
+                  base64(mesh::encodeMember(
+                      {"back", wallClockMilliseconds(), back->node->settings.peers, "a", "orders", "", 0, false, {}})));
+        return address;
+    }
+
     struct Process {
         Process(SuspendableLoopback &loop, const event::Endpoint &store)
             : node{std::make_unique<TestNode>(loop, store, "back", "orders")}
@@ -142,6 +157,7 @@
 
     Loopback loopback;
     event::Endpoint storeAt{Loopback::freeEndpoint()};
+    event::Endpoint backStoreAt{storeAt};
     test::PlatformStore store{loopback.loop, storeAt};
     TestNode front{loopback, storeAt, "front", "catalogue"};
     std::vector<std::unique_ptr<SuspendableLoopback>> loops;
--- a/test/jasminelatch/sidecar/departure_order.cpp
+++ b/test/jasminelatch/sidecar/departure_order.cpp
@@ -181,4 +181,51 @@
     expectUnused(id);
 }
 
+TEST_F(DepartureOrderTest, ALateReportIsHeldUntilTheStoreAnswersAlsoAfterADeparture)
+{
+    // Guards against DRAIN while the store is away: once any departure had been reported to a new process, it believed
+    // late reports of an instance whose departure it did not know yet.
+    EXPECT_EQ(deregister().status, 200U);
+    leaveUnheard("i-next", 1800);
+    auto &storeOfBack = startBackApart();
+    back->node->instance.id = "i-next";
+    back->node->instance.status = 503;
+    EXPECT_EQ(deregister().status, 503U) << "sent again";
+    for (auto sequence = 1; sequence < 3; ++sequence) {
+        EXPECT_EQ(reportAs("i-next", "ready", sequence, 1800).status, 200U);
+        loopback.runFor(1500ms);
+        expectUnused("i-next");
+    }
+    storeOfBack.isReadOnly = false;
+    loopback.runFor(2s);
+    expectUnused("i-next");
+    expectUsed("i-third", 1900);
+}
+
+TEST_F(DepartureOrderTest, AStartThatKeepsReportingIsUsedWhileTheStoreIsAway)
+{
+    // The sound case beside it: the next instance starts, the store is still away, and the node knows no health path.
+    EXPECT_EQ(deregister().status, 200U);
+    startBackApart().isUnavailable = true;
+    back->node->instance.id = "i-next";
+    EXPECT_EQ(deregister().status, 503U);
+    keepReporting("i-next", 1800);
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch().body == "from i-next"; }, 6s));
+}
+
+TEST_F(DepartureOrderTest, AHealthyStartIsUsedWhileTheStoreTakesNoWrites)
+{
+    // The sound case beside it where a health check tells that the next instance runs.
+    EXPECT_EQ(deregister().status, 200U);
+    startBackApart();
+    back->node->instance.id = "i-next";
+    EXPECT_EQ(deregister().status, 503U);
+    loopback.runFor(1200ms);
+    EXPECT_EQ(reportAs("i-next", "ready", 1, 1800).status, 200U);
+    EXPECT_TRUE(loopback.runUntil([&] { return fetch().body == "from i-next"; }, 12s));
+    EXPECT_EQ(reportAs("i-next", "ready", 2, 1800).status, 200U);
+    loopback.runFor(100ms);
+    EXPECT_EQ(fetch().body, "from i-next");
+}
+
 } // namespace jasminelatch::sidecar
--- a/test/support/platform_store.hpp
+++ b/test/support/platform_store.hpp
@@ -32,6 +32,7 @@
     /*! @brief Listening address of the store; several addresses allow faults for some nodes only. */
     struct Address {
         bool isUnavailable{}; /*!< Whether calls at this address are answered with 503 and have no effect. */
+        bool isReadOnly{}; /*!< Whether all calls but reads are. */
         std::unique_ptr<sidecar::HttpServer> server;
     };
 
@@ -53,7 +54,7 @@
                         answer.fields.push_back({"Store-Era", std::to_string(era_)});
                         plainRespond(std::move(answer));
                     };
-                    if (address.isUnavailable) {
+                    if (address.isUnavailable || (address.isReadOnly && request.method != "GET")) {
                         respond({503, {}, {}, {}});
                     } else {
                         answer(request, respond);
