Confirm the start in use when the store tells of a departure that may be of another one

Callers saw: a node restarted while the store took no writes and used the instance that its health check showed. When the store answered, the running instance was marked as leaving for good, because an earlier start had departed with a later time (after a step back of the clock) or under the same id, which is all that a health check names.

Cause: the departures of the store were applied to whatever the record held unless it was certainly another start.

Evidence: the two tests added here fail without the change.

Why this works: only a start that certainly departed is marked; another one gets no requests until a health check or its reports confirm it, and no departure is recorded for it. After: both pass.

--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -476,8 +476,13 @@
 {
     departures_.merge(departures);
     const auto &latest = instance_.latest();
-    if (departures_.known().contains(latest) || mayHaveEnded(latest)) {
+    const auto hasDeparted = departures_.known().contains(latest);
+    if (hasDeparted && latest.startTimeMs != 0) {
         instance_.markLeaving();
+    } else if (hasDeparted || mayHaveEnded(latest)) {
+        // It may be another start of its id, or one after a step back of the clock.
+        instance_.awaitConfirmation();
+        probeInstance();
     }
     if (const auto report = std::exchange(healthReport_, std::nullopt)) {
         applyHealth(*report);
--- a/test/jasminelatch/sidecar/departure_order.cpp
+++ b/test/jasminelatch/sidecar/departure_order.cpp
@@ -228,4 +228,32 @@
     EXPECT_EQ(fetch().body, "from i-next");
 }
 
+TEST_F(DepartureOrderTest, AStartAfterAStepBackIsNotRemovedWhenTheStoreTellsOfALaterDeparture)
+{
+    // Guards against a running instance that is marked as leaving for good once the store can be reached.
+    EXPECT_EQ(deregister().status, 200U);
+    auto &storeOfBack = startBackApart();
+    back->node->instance.id = "i-next";
+    EXPECT_EQ(reportAs("i-next", "ready", 1, 1600).status, 200U);
+    ASSERT_TRUE(loopback.runUntil([&] { return fetch().body == "from i-next"; }, 12s)) << "its health check answers";
+    EXPECT_EQ(reportAs("i-next", "ready", 2, 1600).status, 200U);
+    storeOfBack.isReadOnly = false;
+    loopback.runFor(4s);
+    EXPECT_EQ(fetch().body, "from i-next");
+}
+
+TEST_F(DepartureOrderTest, AnotherStartOfAnIdIsNotRemovedWhenTheStoreTellsOfItsDeparture)
+{
+    // Guards against the same where a health check, which names no start, has shown the instance.
+    EXPECT_EQ(deregister().status, 200U);
+    auto &storeOfBack = startBackApart();
+    EXPECT_EQ(report("ready", 1, 1800).status, 200U);
+    ASSERT_TRUE(loopback.runUntil([&] { return fetch().body == "from i-back"; }, 12s)) << "its health check answers";
+    storeOfBack.isReadOnly = false;
+    loopback.runFor(4s);
+    EXPECT_EQ(fetch().body, "from i-back");
+    EXPECT_EQ(report("ready", 2, 1800).status, 200U);
+    EXPECT_EQ(fetch().body, "from i-back");
+}
+
 } // namespace jasminelatch::sidecar
