Write departures again after a restoration of the store, also those that an earlier process has recorded

Callers saw: an instance left, its node restarted, an older copy replaced the store, the node restarted again, and a late "ready" of the instance put it into use.

Cause: after a restoration a process wrote only what it had written itself; what it had read was in its memory alone.

Evidence: ADepartureThatAnEarlierProcessHasRecordedIsWrittenAgainAfterARestoration fails on: the item stays away.

Why this works: the whole item is written, whoever recorded the departures. After: the test passes.

--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -418,6 +418,8 @@
     if (registry_.isFirstRelay()) {
         quarantines_.adoptAll();
     }
+    // Also those that this process has only read: the store may be the only other place that has them.
+    departures_.rewrite();
     writer_.rewriteAll();
 }
 
--- a/test/jasminelatch/sidecar/departure_order.cpp
+++ b/test/jasminelatch/sidecar/departure_order.cpp
@@ -256,4 +256,25 @@
     EXPECT_EQ(fetch().body, "from i-back");
 }
 
+TEST_F(DepartureOrderTest, ADepartureThatAnEarlierProcessHasRecordedIsWrittenAgainAfterARestoration)
+{
+    // Guards against DRAIN after a restoration of the store from an older copy and a kill: only the process that had
+    // recorded a departure wrote it again.
+    store.keepCopy();
+    EXPECT_EQ(deregister().status, 200U);
+    startBack();
+    back->node->instance.status = 503;
+    ASSERT_TRUE(loopback.runUntil([&] { return isReady(*back); }));
+    loopback.runFor(300ms);
+    store.restore();
+    ASSERT_FALSE(store.find("jasminelatch/departures/back"));
+    EXPECT_TRUE(loopback.runUntil([&] { return store.find("jasminelatch/departures/back").has_value(); }, 4s));
+    startBack();
+    back->node->instance.status = 503;
+    ASSERT_TRUE(loopback.runUntil([&] { return isReady(*back); }));
+    loopback.runFor(300ms);
+    EXPECT_EQ(report("ready", 9).status, 200U);
+    expectUnused("i-back");
+}
+
 } // namespace jasminelatch::sidecar
