Let peers remember each leaving start of a VM

Callers could see: an instance said in its answers that it leaves, the next one on the VM did too, and a restarted node beside them offered the first one again; its peers had forgotten it and sent it requests.

Cause: Placement kept one leaving start a VM, so that the later one replaced the earlier one.

Evidence: Placement.SeveralInstancesOfAVmThatSaidThatTheyAreLeavingAreNotSelected fails before; no run with processes showed it.

After: the test passes. No store calls.

--- a/src/jasminelatch/mesh/placement.cpp
+++ b/src/jasminelatch/mesh/placement.cpp
@@ -73,8 +73,18 @@
                             const std::uint64_t instanceStartMs,
                             const TimePoint now) -> void
 {
-    std::erase_if(departures_, [&](const auto &entry) { return now - entry.second.at > settings_.departureMemory; });
-    departures_[name] = {instanceId, instanceStartMs, now};
+    const auto isOver = [&](const Departure &departure) {
+        return now - departure.at > settings_.departureMemory;
+    };
+    for (auto &[vm, departures] : departures_) {
+        std::erase_if(departures, isOver);
+    }
+    std::erase_if(departures_, [](const auto &entry) { return entry.second.empty(); });
+    auto &departures = departures_[name];
+    std::erase_if(departures, [&](const Departure &departure) {
+        return departure.instanceId == instanceId && departure.instanceStartMs == instanceStartMs;
+    });
+    departures.push_back({instanceId, instanceStartMs, now});
 }
 
 auto Placement::setEvacuated(std::set<std::string> domains) -> void
@@ -260,8 +270,10 @@
 auto Placement::hasDeparted(const Member &member) const -> bool
 {
     const auto found = departures_.find(member.name);
-    return found != departures_.end() && found->second.instanceId == member.instanceId
-        && isSameStart(found->second.instanceStartMs, member.instanceStartMs);
+    return found != departures_.end() && std::ranges::any_of(found->second, [&](const Departure &departure) {
+               return departure.instanceId == member.instanceId
+                   && isSameStart(departure.instanceStartMs, member.instanceStartMs);
+           });
 }
 
 auto Placement::accepts(const Endpoint &endpoint) const -> bool
--- a/src/jasminelatch/mesh/placement.hpp
+++ b/src/jasminelatch/mesh/placement.hpp
@@ -246,7 +246,7 @@
     std::mt19937_64 random_;
     std::map<std::string, Endpoint> endpoints_;
     std::set<std::string> evacuated_; /*!< Failure domains whose instances get no requests. */
-    std::map<std::string, Departure> departures_; /*!< By name of the VM; outlives its endpoint. */
+    std::map<std::string, std::vector<Departure>> departures_; /*!< By name of the VM; outlives its endpoint. */
 };
 
 } // namespace jasminelatch::mesh
--- a/test/jasminelatch/mesh/placement.cpp
+++ b/test/jasminelatch/mesh/placement.cpp
@@ -186,6 +186,28 @@
     EXPECT_NE(placement.choose("vistas", {}, start + 1s), nullptr);
 }
 
+TEST(Placement, SeveralInstancesOfAVmThatSaidThatTheyAreLeavingAreNotSelected)
+{
+    // Guards against DRAIN where instances leave in a row: the later one replaced the earlier one in the memory of
+    // peers.
+    Placement placement{{}, "a", 1};
+    auto offered = member("local");
+    placement.setMember(offered, start);
+    placement.markLeaving("local", "i-local", 1700, start);
+    placement.markLeaving("local", "i-next", 1800, start + 1s);
+    placement.markLeaving("local", "i-next", 1800, start + 2s);
+    offered.incarnation = 2;
+    for (const auto &[id, startTimeMs] : {std::pair{"i-local", 1700U}, {"i-next", 1800U}}) {
+        offered.instanceId = id;
+        offered.instanceStartMs = startTimeMs;
+        placement.setMember(offered, start + 3s);
+        EXPECT_EQ(placement.choose("vistas", {}, start + 3s), nullptr) << id;
+    }
+    offered.instanceStartMs = 1900;
+    placement.setMember(offered, start + 4s);
+    EXPECT_NE(placement.choose("vistas", {}, start + 4s), nullptr) << "another start is used";
+}
+
 TEST(Placement, ARequestOfACrashIsTriedAtFewInstancesAndNeverAtTheLast)
 {
     Placement placement{{}, "a", 1};
