Do not believe a late report of a start that precedes a departed one because it follows the latest known start

A late report of the start that crashed brought the id back: 24 requests reached the leaving instance, later than `drain` after the acknowledgement.

Cause: took a report for one in order if its start follows that of the record. The record still held a third instance.

Why this works: a start that precedes a departed one by its time is believed only once it keeps reporting, whatever the record holds. After: the test passes. Cost: after a step back, the second start in a row is also used only after some four seconds, until its time has passed that of the departure. No store calls.

--- a/src/jasminelatch/sidecar/node.cpp
+++ b/src/jasminelatch/sidecar/node.cpp
@@ -511,7 +511,6 @@
 auto Node::applyUnlessLate(mesh::InstanceReport report) -> void
 {
     const auto &latest = instance_.latest();
-    const auto isAfterLatest = latest.startTimeMs != 0 && latest.startTimeMs < report.startTimeMs;
     if (departures_.known().contains(report)) {
         // It was sent before the departure.
         if (!latest.id.empty()) {
@@ -519,7 +518,7 @@
             return;
         }
         report.state = mesh::InstanceState::Draining;
-    } else if (!isAfterLatest && !mesh::isSameStart(report, latest) && mayHaveEnded(report)) {
+    } else if (!mesh::isSameStart(report, latest) && mayHaveEnded(report)) {
         logIgnoredReport(report, "precedes_departure");
         return;
     }
--- a/test/jasminelatch/sidecar/departure_order.cpp
+++ b/test/jasminelatch/sidecar/departure_order.cpp
@@ -38,6 +38,16 @@
     expectUsed("i-third", 1900);
 }
 
+TEST_F(DepartureOrderTest, ADepartureHoldsAgainstLateReportsOfAnEarlierStartOfItsId)
+{
+    // Guards against DRAIN after a crash: requests name the id alone, and the start that crashed had not departed.
+    EXPECT_EQ(deregister().status, 200U);
+    leaveUnheard("i-next", 1900);
+    EXPECT_EQ(reportAs("i-next", "ready", 1, 1800).status, 200U);
+    expectUnused("i-next");
+    expectUsed("i-next", 2000);
+}
+
 TEST_F(DepartureOrderTest, ADepartureThatOvertakesTheFirstReportOutlastsAKillOfTheNode)
 {
     // Guards against DRAIN of review/7 after a kill: the departure was not in the store when it was acknowledged.
