--- a/review/support-3/coded.cpp
+++ b/review/support-3/coded.cpp
@@ -36,7 +36,7 @@
     Place place;
     Store store;
     std::vector<Machine> machines{place.machine(1, "a", "huvo11a")};
-    if (!store.open(place.store())) {
+    if (!openStore(store, machines)) {
         finish(place, machines, 2, "no port");
     }
     std::unique_ptr<Instance> instance;
--- a/review/support-3/common.hpp
+++ b/review/support-3/common.hpp
@@ -43,6 +43,12 @@
     std::_Exit(result);
 }
 
+/*! @brief Opens the store at the address of each machine. */
+inline auto openStore(Store &store, const std::vector<Machine> &machines) -> bool
+{
+    return std::all_of(machines.begin(), machines.end(), [&](const auto &machine) { return store.open(machine.store); });
+}
+
 /*! @brief Waits until an ordinary request succeeds at a machine. */
 inline auto waitServing(const Machine &machine, const std::string &path, const double timeout) -> bool
 {
--- a/review/support-3/heads.cpp
+++ b/review/support-3/heads.cpp
@@ -90,7 +90,7 @@
     Place place;
     Store store;
     std::vector<Machine> machines{place.machine(1, "a", "huvo11a"), place.machine(2, "b", "huvo11a")};
-    if (!raiseFileLimit(2000) || !store.open(place.store())) {
+    if (!raiseFileLimit(2000) || !openStore(store, machines)) {
         finish(place, machines, 2, "no descriptors or no port");
     }
     std::vector<std::unique_ptr<Instance>> instances;
--- a/review/support-3/stage.hpp
+++ b/review/support-3/stage.hpp
@@ -316,14 +316,17 @@
     return text;
 }
 
-/*! @brief The platform's store: items, watches, transactions and leases. Reads are never stale. */
+/*! @brief The platform's store: items, watches, transactions, leases and a history of 20 s. Reads are never stale. */
 class Store
 {
 public:
+    /*! @brief Listens on an address; each machine has one of its own, so that the store can turn single ones away. */
     auto open(const Address &address) -> bool
     {
-        std::thread{[this] { expireLeases(); }}.detach();
-        return server_.open(address, [this](const int fd) { serve(fd); });
+        if (servers_.empty()) {
+            std::thread{[this] { expire(); }}.detach();
+        }
+        return servers_.emplace_back().open(address, [this, ip = address.ip](const int fd) { serve(fd, ip); });
     }
 
     /*! @brief Writes an item as the operator does; returns when it is acknowledged. */
@@ -334,11 +337,11 @@
         changed_.notify_all();
     }
 
-    /*! @brief Makes the store answer 503 for calls from a machine's address, or ends that. */
-    auto setRefused(const std::string &ip, const bool isRefused) -> void
+    /*! @brief Makes the store answer 503 at one of its addresses, or ends that. */
+    auto setRefused(const Address &address, const bool isRefused) -> void
     {
         const std::lock_guard lock{mutex_};
-        refused_[ip] = isRefused;
+        refused_[address.ip] = isRefused;
         changed_.notify_all();
     }
 
@@ -355,22 +358,33 @@
         const auto created = known == items_.end() ? Json(revision_) : known->second.at("create-revision");
         items_[key] = {
             {"key", key}, {"value", base64}, {"revision", revision_}, {"create-revision", created}, {"lease", lease}};
-        events_.push_back(items_[key]);
+        log(items_[key]);
     }
 
     auto erase(const std::string &key) -> void
     {
         if (items_.erase(key) > 0) {
             ++revision_;
-            events_.push_back({{"key", key}, {"revision", revision_}, {"removed", true}});
+            log({{"key", key}, {"revision", revision_}, {"removed", true}});
         }
     }
 
-    auto expireLeases() -> void
+    /*! @brief Adds an event to the history. */
+    auto log(Json event) -> void
+    {
+        events_.push_back({Clock::now(), std::move(event)});
+    }
+
+    /*! @brief Forgets events that are older than `history` and ends leases. */
+    auto expire() -> void
     {
         for (;;) {
             pause(0.05);
             const std::lock_guard lock{mutex_};
+            while (!events_.empty() && Clock::now() - events_.front().first > history) {
+                forgotten_ = events_.front().second.at("revision").get<std::uint64_t>();
+                events_.pop_front();
+            }
             for (auto lease = leases_.begin(); lease != leases_.end();) {
                 if (lease->second.ends > Clock::now()) {
                     ++lease;
@@ -419,13 +433,8 @@
         return {};
     }
 
-    auto serve(const int fd) -> void
+    auto serve(const int fd, const std::string &ip) -> void
     {
-        sockaddr_in peer{};
-        socklen_t size = sizeof peer;
-        getpeername(fd, reinterpret_cast<sockaddr *>(&peer), &size);
-        char ip[32];
-        inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof ip);
         std::string buffer;
         while (const auto call = readMessage(fd, buffer, 600)) {
             auto [status, body] = handle(*call, ip);
@@ -477,8 +486,11 @@
             const auto after = std::strtoull(query(target, "after").c_str(), nullptr, 10);
             const auto until = Clock::now() + std::chrono::milliseconds{std::atol(query(target, "wait-ms").c_str())};
             for (;;) {
+                if (after < forgotten_) {
+                    return {410, Json::object()};
+                }
                 Json events = Json::array();
-                for (const auto &event : events_) {
+                for (const auto &[at, event] : events_) {
                     if (event.at("revision") > after
                         && event.at("key").get_ref<const std::string &>().starts_with(prefix)) {
                         events.push_back(event);
@@ -551,12 +563,15 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, Json> items_;
-    std::vector<Json> events_;
+    static constexpr std::chrono::seconds history{20};
+
+    std::deque<std::pair<Clock::time_point, Json>> events_;
+    std::uint64_t forgotten_{}; /*!< Newest revision that is no longer in the history. */
     std::map<std::uint64_t, Lease> leases_;
     std::map<std::string, bool> refused_;
     std::uint64_t revision_{100};
     std::uint64_t lastLease_{7000};
-    Server server_;
+    std::deque<Server> servers_;
 };
 
 /*! @brief Request line, fields and body of a client's request. */
@@ -859,15 +874,13 @@
         machine.zone = zone;
         machine.service = service;
         machine.ip = network + "." + std::to_string(10 + index);
-        machine.store = store();
+        machine.store = {network + "." + std::to_string(100 + index), port};
         machine.port = port;
         machine.folder = folder;
         files.push_back(folder + "/" + machine.name + ".json");
         files.push_back(folder + "/" + machine.name + ".log");
         return machine;
     }
-
-    [[nodiscard]] auto store() const -> Address { return {network + ".1", port}; }
 };
 
 inline auto hasTrouble() -> bool
