--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/support-3/*.cpp; do
-    name=$(basename "$source" .cpp)
+for source in review/support-3/*.cc; do
+    name=$(basename "$source" .cc)
     ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review-3/$name"
 done
--- a/review/support-3/common.hpp
+++ b/review/support-3/common.hh
@@ -1,8 +1,8 @@
 // Parts that the scripts of the third review share: a site of a few machines with a store, and its configuration.
-#ifndef REVIEW_SUPPORT_3_COMMON_HPP
-#define REVIEW_SUPPORT_3_COMMON_HPP
+#ifndef REVIEW_SUPPORT_3_COMMON_HH
+#define REVIEW_SUPPORT_3_COMMON_HH
 
-#include "stage.hpp"
+#include "stage.hh"
 
 namespace stage {
 
@@ -14,8 +14,8 @@
 {
     return R"({"resource-kind":"routes","metadata":{"name":")" + name + R"("},"spec":{"host":")" + host
          + R"(","path-prefix":")" + prefix + R"(","route-type":")" + type
-         + R"(","target-latency":"1500ms","priority":1,"service":"huvo11a","max-attempts":2,"allow-anonymous":false,)" + more
-         + "}}";
+         + R"(","target-latency":"1500ms","priority":1,"service":"huvo11a","max-attempts":2,"allow-anonymous":false,)"
+         + more + "}}";
 }
 
 /*! @brief Configuration with the limits of the settings page's example and one tenant without a usage cap. */
@@ -46,7 +46,8 @@
 /*! @brief Opens the store at the address of each machine. */
 inline auto openStore(Store &store, const std::vector<Machine> &machines) -> bool
 {
-    return std::all_of(machines.begin(), machines.end(), [&](const auto &machine) { return store.open(machine.store); });
+    return std::all_of(
+        machines.begin(), machines.end(), [&](const auto &machine) { return store.open(machine.store); });
 }
 
 /*! @brief Waits until an ordinary request succeeds at a machine. */
@@ -54,8 +55,7 @@
 {
     const auto end = secondsNow() + timeout;
     while (secondsNow() < end) {
-        const auto answer =
-            ask(machine.outbound(), requestText("GET", path, host, randomId(), key, 2000), 2.5);
+        const auto answer = ask(machine.outbound(), requestText("GET", path, host, randomId(), key, 2000), 2.5);
         if (answer && answer->status() == 200) {
             return true;
         }
--- a/review/support-3/heads.cpp
+++ b/review/support-3/heads.cc
@@ -1,6 +1,6 @@
-// Case "heads": clients whose requests' heads do not end. Two machines with 260 MB; the platform's stand-in kills a node
-// that holds more, and starts it again after half a second.
-#include "common.hpp"
+// Case "heads": clients whose requests' heads do not end. Two machines with 260 MB; the platform's stand-in kills a
+// node that holds more, and starts it again after half a second.
+#include "common.hh"
 
 using namespace stage;
 
@@ -86,6 +86,7 @@
 
 auto main() -> int
 {
+    guardRun();
     record.open("review/" + std::string{std::getenv("CASE")} + "/record.txt");
     Place place;
     Store store;
@@ -103,8 +104,7 @@
             finish(place, machines, 2, "no port for an instance");
         }
     }
-    store.put("op/config",
-              configuration("00000007", route("r1", "/leny950/", "idempotent", R"("timeout":"2000ms")")));
+    store.put("op/config", configuration("00000007", route("r1", "/leny950/", "idempotent", R"("timeout":"2000ms")")));
     for (auto &machine : machines) {
         machine.startNode();
     }
@@ -116,7 +116,9 @@
     std::atomic<int> served{0};
     std::atomic<int> unserved{0};
     for (auto &machine : machines) {
-        std::thread{[&machine] { supervise(machine); }}.detach();
+        std::thread{[&machine] {
+            supervise(machine);
+        }}.detach();
         std::thread{[&machine, &served, &unserved] {
             for (;;) {
                 const auto answer =
--- a/review/support-3/stage.hpp
+++ b/review/support-3/stage.hh
@@ -1,12 +1,13 @@
 // Stand-ins for the scripts of the third review: the platform's store, instances, clients, and the platform that starts
 // and ends the nodes. Each connection is served by a thread; all addresses are loopback addresses.
-#ifndef REVIEW_SUPPORT_3_STAGE_HPP
-#define REVIEW_SUPPORT_3_STAGE_HPP
+#ifndef REVIEW_SUPPORT_3_STAGE_HH
+#define REVIEW_SUPPORT_3_STAGE_HH
 
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <nlohmann/json.hpp>
 #include <poll.h>
 #include <signal.h>
 #include <sys/resource.h>
@@ -14,9 +15,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -214,7 +214,8 @@
 /*! @brief Reads a message with a length or without a body; returns nothing if it is not complete in time. */
 inline auto readMessage(const int fd, std::string &buffer, const double timeout) -> std::optional<Message>
 {
-    const auto until = Clock::now() + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(timeout));
+    const auto until =
+        Clock::now() + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(timeout));
     std::size_t end;
     while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
         if (!receiveMore(fd, buffer, until)) {
@@ -324,7 +325,9 @@
     auto open(const Address &address) -> bool
     {
         if (servers_.empty()) {
-            std::thread{[this] { expire(); }}.detach();
+            std::thread{[this] {
+                expire();
+            }}.detach();
         }
         return servers_.emplace_back().open(address, [this, ip = address.ip](const int fd) { serve(fd, ip); });
     }
@@ -370,10 +373,7 @@
     }
 
     /*! @brief Adds an event to the history. */
-    auto log(Json event) -> void
-    {
-        events_.push_back({Clock::now(), std::move(event)});
-    }
+    auto log(Json event) -> void { events_.push_back({Clock::now(), std::move(event)}); }
 
     /*! @brief Forgets events that are older than `history` and ends leases. */
     auto expire() -> void
@@ -534,7 +534,8 @@
         auto isExpected = true;
         for (const auto &row : body.at("expected-revision")) {
             const auto item = items_.find(row.at("key").get<std::string>());
-            isExpected = isExpected && (item == items_.end() ? Json(0) : item->second.at("revision")) == row.at("revision");
+            isExpected =
+                isExpected && (item == items_.end() ? Json(0) : item->second.at("revision")) == row.at("revision");
             if (item != items_.end()) {
                 present.push_back(item->second);
             }
@@ -617,6 +618,38 @@
     return answer;
 }
 
+/*! @brief Nodes that run, for `endAll`. */
+inline std::array<std::atomic<pid_t>, 64> children{};
+inline std::atomic<std::size_t> nextChild{};
+
+inline auto forget(const pid_t node) -> void
+{
+    for (auto &child : children) {
+        auto expected = node;
+        child.compare_exchange_strong(expected, 0);
+    }
+}
+
+/*! @brief Signal handler: ends all nodes and the run, which then does not count. */
+inline auto endAll(int) -> void
+{
+    for (const auto &child : children) {
+        if (child > 0) {
+            kill(child, SIGKILL);
+        }
+    }
+    _exit(2);
+}
+
+/*! @brief Ends the run when it is asked to, and after 115 seconds in any case. */
+inline auto guardRun() -> void
+{
+    for (const auto number : {SIGALRM, SIGTERM, SIGINT, SIGHUP}) {
+        signal(number, endAll);
+    }
+    alarm(115);
+}
+
 /*! @brief A machine: a node and the instance beside it, with the ports of the settings page. */
 struct Machine {
     std::string name;
@@ -670,6 +703,20 @@
         const auto settings = folder + "/" + name + ".json";
         std::ofstream{settings} << text;
         const auto log = folder + "/" + name + ".log";
+        // The child gets nothing else of the caller's environment, as on the platform.
+        std::vector<std::string> variables{
+            "JASMINELATCH_CONFIG=" + settings, "JASMINELATCH_COLD_OVER=", "JASMINELATCH_COLD_SLACK="};
+        for (const auto *inherited : {"PATH", "HOME", "LANG"}) {
+            if (const char *value = std::getenv(inherited)) {
+                variables.push_back(std::string{inherited} + "=" + value);
+            }
+        }
+        std::vector<char *> environment;
+        for (auto &variable : variables) {
+            environment.push_back(variable.data());
+        }
+        environment.push_back(nullptr);
+        const auto slot = nextChild++ % children.size();
         node = fork();
         if (node == 0) {
             const rlimit files{static_cast<rlim_t>(maxFds), static_cast<rlim_t>(maxFds)};
@@ -677,12 +724,10 @@
             const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, 1);
             dup2(out, 2);
-            setenv("JASMINELATCH_CONFIG", settings.c_str(), 1);
-            setenv("JASMINELATCH_COLD_OVER", "", 1);
-            setenv("JASMINELATCH_COLD_SLACK", "", 1);
-            execl("target/src/jasminelatch-sidecar", "jasminelatch-sidecar", nullptr);
+            execle("target/src/jasminelatch-sidecar", "jasminelatch-sidecar", nullptr, environment.data());
             _exit(127);
         }
+        children[slot] = node;
         ++starts;
         note("node " + name + " started");
     }
@@ -699,7 +744,8 @@
     {
         if (node > 0) {
             kill(node, SIGKILL);
-            waitpid(std::exchange(node, 0), nullptr, 0);
+            waitpid(node, nullptr, 0);
+            forget(std::exchange(node, 0));
         }
     }
 
@@ -708,7 +754,7 @@
     {
         int status = 0;
         if (node > 0 && waitpid(node, &status, WNOHANG) == node) {
-            node = 0;
+            forget(std::exchange(node, 0));
             return status;
         }
         return std::nullopt;
@@ -754,8 +800,9 @@
         : machine_{&machine}
         , id_{std::move(id)}
         , work_{std::move(work)}
-        , born_{std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-                    .count()}
+        , born_{
+              std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                  .count()}
     {
     }
 
@@ -778,7 +825,8 @@
     /*! @brief Fields that every answer of the instance has. */
     [[nodiscard]] auto fields(const Message &request) const -> std::string
     {
-        std::string text = "Instance-Id: " + id_ + "\r\nInstance-Load: 0,0," + std::to_string(slots) + "\r\nKeep-Alive: timeout=10\r\n";
+        std::string text = "Instance-Id: " + id_ + "\r\nInstance-Load: 0,0," + std::to_string(slots)
+                         + "\r\nKeep-Alive: timeout=10\r\n";
         const auto attempt = request.find("Attempt-Id");
         return attempt.empty() ? text : text + "Attempt-Id: " + attempt + "\r\n";
     }
@@ -788,7 +836,8 @@
     /*! @brief A success with a seal. */
     [[nodiscard]] auto success(const Message &request, const std::string &body) const -> std::string
     {
-        return answerText(200, fields(request) + "Response-Seal: " + std::to_string(body.size()) + "." + id_ + "\r\n", body);
+        return answerText(
+            200, fields(request) + "Response-Seal: " + std::to_string(body.size()) + "." + id_ + "\r\n", body);
     }
 
 private:
--- a/review/support-3/storm.cpp
+++ b/review/support-3/storm.cc
@@ -1,6 +1,6 @@
 // Case "storm": the store turns one machine away for some seconds, while a large configuration changes in quick
 // succession. Afterwards the store serves the machine again.
-#include "common.hpp"
+#include "common.hh"
 
 using namespace stage;
 
@@ -30,8 +30,9 @@
               + R"(ms","target-latency":"1500ms","priority":2,"traffic-split":[{"service":"huvo11a","weight":90},)"
                 R"({"service":"lovo22d","weight":10}],"max-attempts":2,"allow-anonymous":false}})";
     }
-    return text + R"(,{"resource-kind":"services","metadata":{"name":"lovo22d"},"spec":{"health-path":"/health",)"
-                  R"("max-connections":820,"protocol":"h1","tls":false}})";
+    return text
+         + R"(,{"resource-kind":"services","metadata":{"name":"lovo22d"},"spec":{"health-path":"/health",)"
+           R"("max-connections":820,"protocol":"h1","tls":false}})";
 }
 
 auto versionText(const int version) -> std::string
@@ -45,6 +46,7 @@
 
 auto main() -> int
 {
+    guardRun();
     record.open("review/" + std::string{std::getenv("CASE")} + "/record.txt");
     Place place;
     Store store;
@@ -83,7 +85,8 @@
     pause(1);
     for (int change = 1; change <= changes; ++change) {
         ++version;
-        store.put("op/config", configuration(versionText(version), routes(change == changes ? "lovo22d" : "huvo11a", change)));
+        store.put("op/config",
+                  configuration(versionText(version), routes(change == changes ? "lovo22d" : "huvo11a", change)));
         pause(gap);
     }
     const auto acknowledged = secondsNow();
@@ -99,7 +102,8 @@
     auto lastOld = 0.0;
     while (secondsNow() < served + watched) {
         const auto sentAt = secondsNow();
-        const auto answer = ask(machines[0].outbound(), requestText("GET", "/calls/7", host, randomId(), "", 2000), 2.5);
+        const auto answer =
+            ask(machines[0].outbound(), requestText("GET", "/calls/7", host, randomId(), "", 2000), 2.5);
         const auto seen = !answer ? std::string{"none"} : answer->status() == 200 ? answer->body : answer->word(1);
         ++(sentAt > from ? bound : early)[seen];
         if (sentAt > from && seen == "i-huvo11a") {
@@ -114,8 +118,8 @@
         }
         return result;
     };
-    auto seen = "calls sent in touch and later than config-apply after the ack:" + text(bound) + "; before that:"
-              + text(early);
+    auto seen =
+        "calls sent in touch and later than config-apply after the ack:" + text(bound) + "; before that:" + text(early);
     if (lastOld > 0.0) {
         seen += "; the last one at the old service " + std::to_string(lastOld - from) + " s after the bound";
     }
--- a/review/support-3/trickle.cpp
+++ b/review/support-3/trickle.cc
@@ -1,6 +1,6 @@
-// Case "trickle": clients that send large bodies piece by piece hold all connections of a node, so that ordinary callers
-// on the machine get no answer while the node says that it is ready.
-#include "common.hpp"
+// Case "trickle": clients that send large bodies piece by piece hold all connections of a node, so that ordinary
+// callers on the machine get no answer while the node says that it is ready.
+#include "common.hh"
 
 using namespace stage;
 
@@ -106,6 +106,7 @@
 
 auto main() -> int
 {
+    guardRun();
     record.open("review/" + std::string{std::getenv("CASE")} + "/record.txt");
     Place place;
     Store store;
@@ -137,10 +138,14 @@
     }
     answeredAt = secondsNow();
     for (int i = 0; i < ordinaryClients; ++i) {
-        std::thread{[&machines] { ordinaryClient(machines.front()); }}.detach();
+        std::thread{[&machines] {
+            ordinaryClient(machines.front());
+        }}.detach();
         pause(0.03);
     }
-    std::thread{[&machines] { watchReadiness(machines.front()); }}.detach();
+    std::thread{[&machines] {
+        watchReadiness(machines.front());
+    }}.detach();
     pause(2);
     if (hasTrouble()) {
         runCrowd(machines.front());
