--- a/review/support-3/endless.cc
+++ b/review/support-3/endless.cc
@@ -75,7 +75,7 @@
         machines.push_back(place.machine(i, std::string(1, static_cast<char>('a' + i % 3)), "huvo11a"));
         machines.back().memoryMb = memoryMb;
     }
-    if (!raiseFileLimit(8000) || !openStore(store, machines)) {
+    if (!raiseFileLimit(4000) || !openStore(store, machines)) {
         finish(place, machines, 2, "no descriptors or no port");
     }
     std::atomic<bool> isInTrouble{false};
