--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15 into target/review-3/. Run in the repository after the build of the deploy
+# Builds the stand-ins of the cases 11, 13 and 14 into target/review-3/. Run in the repository after the build of the deploy
 # file.
 set -eu
 cd "$(dirname "$0")/.."
